--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -3,162 +3,15 @@
 #include <nlohmann/json.hpp>
 #include <utility>
 
+#include "settings_json/fields.h"
+#include "settings_json/settings_json.h"
+
 namespace limedrum::benchlink {
 namespace {
 
 using Json = nlohmann::json;
 
-[[noreturn]] void complain(const std::string& field, const std::string& what) {
-    throw WireError(field + ": " + what);
-}
-
-const Json* find(const Json& object, const char* name) {
-    if (!object.is_object()) complain(name, "looked for in something that is no object");
-    const auto it = object.find(name);
-    return it == object.end() || it->is_null() ? nullptr : &*it;
-}
-
-const Json& need(const Json& object, const char* name) {
-    const Json* value = find(object, name);
-    if (value == nullptr) complain(name, "missing");
-    return *value;
-}
-
-double number(const Json& value, const char* name) {
-    if (!value.is_number()) complain(name, "not a number");
-    return value.get<double>();
-}
-std::int64_t whole(const Json& value, const char* name) {
-    if (!value.is_number_integer()) complain(name, "not a whole number");
-    return value.get<std::int64_t>();
-}
-int small(const Json& value, const char* name) {
-    const std::int64_t wide = whole(value, name);
-    if (wide < INT32_MIN || wide > INT32_MAX) complain(name, "out of range");
-    return static_cast<int>(wide);
-}
-NodeId nodeId(const Json& value, const char* name) {
-    const std::int64_t wide = whole(value, name);
-    if (wide < 0 || wide > UINT32_MAX) complain(name, "out of range");
-    return static_cast<NodeId>(wide);
-}
-bool truth(const Json& value, const char* name) {
-    if (!value.is_boolean()) complain(name, "not true or false");
-    return value.get<bool>();
-}
-std::string text(const Json& value, const char* name) {
-    if (!value.is_string()) complain(name, "not a string");
-    return value.get<std::string>();
-}
-const Json& list(const Json& value, const char* name) {
-    if (!value.is_array()) complain(name, "not a list");
-    return value;
-}
-
-double number(const Json& object, const char* name, double otherwise) {
-    const Json* value = find(object, name);
-    return value == nullptr ? otherwise : number(*value, name);
-}
-int small(const Json& object, const char* name, int otherwise) {
-    const Json* value = find(object, name);
-    return value == nullptr ? otherwise : small(*value, name);
-}
-bool truth(const Json& object, const char* name, bool otherwise) {
-    const Json* value = find(object, name);
-    return value == nullptr ? otherwise : truth(*value, name);
-}
-std::string text(const Json& object, const char* name, const std::string& otherwise) {
-    const Json* value = find(object, name);
-    return value == nullptr ? otherwise : text(*value, name);
-}
-const Json& part(const Json& object, const char* name) {
-    static const Json empty = Json::object();
-    const Json* value = find(object, name);
-    if (value == nullptr) return empty;
-    if (!value->is_object()) complain(name, "not an object");
-    return *value;
-}
-
-template <typename Value>
-Value word(const std::string& given, const char* name,
-           std::initializer_list<std::pair<const char*, Value>> known) {
-    for (const auto& [spelling, value] : known) {
-        if (given == spelling) return value;
-    }
-    complain(name, "unknown word '" + given + "'");
-}
-
-ClassSettings classSettings(const Json& json) {
-    ClassSettings out;
-    out.aimMs = number(need(json, "AimMs"), "AimMs");
-    out.deadlineMs = number(need(json, "DeadlineMs"), "DeadlineMs");
-    out.repeat =
-        word<Repeat>(text(json, "Idempotency", "fragile"), "Idempotency",
-                     {{"retryable", Repeat::safe}, {"dedup", Repeat::keyed}, {"fragile", Repeat::unsafe}});
-    out.group = word<RepeatGroup>(
-        text(json, "Group", "cell"), "Group",
-        {{"all", RepeatGroup::all}, {"zone", RepeatGroup::zone}, {"cell", RepeatGroup::cell}});
-    out.repeatWindowMs = number(json, "DedupWindowMs", 0);
-    out.ordered = truth(json, "OneAtATime", false);
-    out.stream = truth(json, "Stream", false);
-    out.worth = number(json, "Points", 1);
-    out.lateWorth = number(json, "LateWorth", 0);
-    return out;
-}
-
-PlanSettings planSettings(const Json& json) {
-    PlanSettings out;
-    out.rate = number(json, "Rate", 0);
-    out.reserve = number(json, "Reserve", 0);
-    out.weight = number(json, "Proportion", 1);
-    out.worthFactor = number(json, "WorthFactor", 1);
-    out.limit = number(json, "Cap", 0);
-    out.limitDepth = number(json, "CapDepth", 0);
-    out.limitSlack = number(json, "CapSlack", 0);
-    return out;
-}
-
-Settings settings(const Json& json) {
-    Settings out;
-    for (const Json& entry : list(need(json, "Classes"), "Classes"))
-        out.classes.push_back(classSettings(entry));
-    if (const Json* plans = find(json, "ServiceLevels")) {
-        for (const Json& entry : list(*plans, "ServiceLevels")) out.plans.push_back(planSettings(entry));
-    }
-    const Json& rules = part(json, "Rules");
-    out.rules.answerSlackMs = number(rules, "AnswerSlackMs", 0);
-    out.rules.drainGraceMs = number(rules, "DrainGraceMs", 0);
-    out.rules.coldShare = number(rules, "ColdShare", 1);
-    out.rules.warmWithinMs = number(rules, "WarmWithinMs", 0);
-    out.rules.overloadFactor = number(rules, "OverloadFactor", 1);
-    out.rules.fallMs = number(rules, "FallMs", 0);
-    out.rules.orderPauseMs = number(rules, "OrderPauseMs", 0);
-    out.rules.mustAskInMs = number(rules, "MustAskInMs", 0);
-    out.rules.budgetWindowMs = number(rules, "BudgetWindowMs", 0);
-    out.rules.budgetFree = number(rules, "ExtraFree", 0);
-    out.rules.budgetRatio = number(rules, "ExtraRatio", 0);
-    const Json& family = part(json, "FamilyInfo");
-    out.coldUnits = number(family, "ColdUnits", 0);
-    out.meanUnits = number(family, "MeanUnits", 1);
-    out.maxUnits = number(family, "MaxUnits", out.meanUnits);
-    out.withinShare = number(family, "WithinShare", 1);
-    out.spareWorth = number(family, "SpareWorth", 1);
-    out.countsOthers = truth(family, "CountsOthers", false);
-    out.meterMs = number(family, "MeteringMs", 0);
-    const Json& limits = part(json, "Limits");
-    out.attemptCap = small(limits, "SendCap", 1);
-    out.mayCancel = truth(limits, "MayCancel", false);
-    out.mayOverlap = truth(limits, "ParallelTries", false);
-    out.mayTellPeers = truth(limits, "PeerMessages", false);
-    out.mayProbe = truth(limits, "Probes", false);
-    out.maxRetryAfterMs = truth(limits, "RetryAfter", false) ? number(limits, "MaxRetryAfterMs", 0) : 0;
-    out.hosts = small(json, "Siblings", 1);
-    out.self = small(json, "SelfIndex", 0);
-    out.zone = small(json, "Az", 0);
-    out.tickMs = number(json, "GranularityMs", 1);
-    out.listOnRequest = text(json, "Discovery", "pushed") == "on_request";
-    return out;
-}
+using namespace fields;
 
 ListEvent listEvent(const Json& json) {
     ListEvent out;
@@ -311,7 +164,7 @@
                 if (!seed.is_number_integer()) complain("RngSeed", "not a whole number");
                 const Json& info = need(entry, "Info");
                 if (!info.is_object()) complain("Info", "not an object");
-                const Settings parsed = settings(info);
+                const Settings parsed = decodeSettings(info).module;
                 waiting.erase(instance);
                 instances_.erase(instance);
                 try {
@@ -340,7 +193,7 @@
         }
         const Json reply{{"round", round}, {"decisions", std::move(decisions)}};
         return reply.dump(-1, ' ', false, Json::error_handler_t::replace);
-    } catch (const WireError& error) {
+    } catch (const fields::FieldError& error) {
         throw WireError(batchName + ": " + error.what());
     }
 }
--- /dev/null
+++ b/src/config/config.cpp
@@ -0,0 +1,99 @@
+#include "config/config.h"
+
+#include <algorithm>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+#include "net/node_list.h"
+#include "settings_json/fields.h"
+
+namespace martencove {
+namespace {
+
+using namespace limedrum::fields;
+
+std::string variable(const char* name) {
+    const char* value = std::getenv(name);
+    return value == nullptr ? "" : value;
+}
+
+Address address(const std::string& text, const char* name) {
+    const auto parsed = parseAddress(text);
+    if (!parsed) complain(name, "not an address: '" + text + "'");
+    return *parsed;
+}
+/// A variable where it is set, else the file's value.
+std::string told(const Json& json, const char* var, const char* field) {
+    const std::string value = variable(var);
+    return value.empty() ? text(need(json, field), field) : value;
+}
+
+std::uint64_t seedOf(const std::string& hex) {
+    std::size_t used = 0;
+    std::uint64_t value = 0;
+    try {
+        value = std::stoull(hex, &used, 16);
+    } catch (const std::exception&) {
+        used = 0;
+    }
+    if (used == 0 || used != hex.size()) complain("seed", "not a hex number");
+    return value;
+}
+
+std::size_t count(const Json& json, const char* name, std::size_t otherwise, int least) {
+    const int value = small(json, name, static_cast<int>(otherwise));
+    if (value < least) complain(name, "below " + std::to_string(least));
+    return static_cast<std::size_t>(value);
+}
+
+Config decode(const Json& json) {
+    if (!json.is_object()) complain("NODE_CONFIG", "not a JSON object");
+    Config out;
+    out.name = told(json, "NODE_NAME", "name");
+    out.listen = address(told(json, "NODE_LISTEN", "listen"), "listen");
+    out.discovery = address(told(json, "NODE_DISCOVERY", "discovery"), "discovery");
+    out.seed = seedOf(text(need(json, "seed"), "seed"));
+    if (const Json* listen = find(json, "peer_listen")) {
+        out.peerListen = address(text(*listen, "peer_listen"), "peer_listen");
+        for (const Json& peer : list(need(json, "peers"), "peers"))
+            out.peers.push_back(address(text(peer, "peers"), "peers"));
+    }
+    out.site = limedrum::decodeSettings(need(json, "settings"));
+    out.known = decodeNodeList(need(json, "known"));
+
+    Limits& limits = out.limits;
+    limits.descriptors = count(part(json, "limits"), "sockets", limits.descriptors, 64);
+    limits.spareDescriptors = std::min(limits.spareDescriptors, limits.descriptors / 4);
+    // Half for clients and half for nodes, of what a scored day allows at most.
+    const std::size_t each = (std::min<std::size_t>(limits.descriptors, 1024) - limits.spareDescriptors) / 2;
+    limits.clientConnections = limits.nodeConnections = each;
+    limits.openRequests =
+        std::min(limits.openRequests, static_cast<std::size_t>(std::max(1, out.site.openRequests)));
+    limits.dialMs = out.site.dialMs;
+    limits.nodeIdleMs = out.site.nodeIdleMs;
+    double longestMs = 0;
+    for (const auto& c : out.site.module.classes) longestMs = std::max(longestMs, c.deadlineMs);
+    limits.drainMostMs = std::max(longestMs, 3000.0) + 550;
+    return out;
+}
+
+}  // namespace
+
+Config readConfig() {
+    const std::string path = variable("NODE_CONFIG");
+    if (path.empty()) throw ConfigError("NODE_CONFIG: not set");
+    std::ifstream file(path);
+    if (!file) throw ConfigError("NODE_CONFIG: cannot read '" + path + "'");
+    std::ostringstream text;
+    text << file.rdbuf();
+    try {
+        const Json json = Json::parse(text.str(), nullptr, false);
+        if (json.is_discarded()) complain("NODE_CONFIG", "not JSON");
+        return decode(json);
+    } catch (const FieldError& error) {
+        throw ConfigError(error.what());
+    }
+}
+
+}  // namespace martencove
--- /dev/null
+++ b/src/config/config.h
@@ -0,0 +1,38 @@
+// What the program is told at its start: NODE_* variables and the JSON file they name.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+#include "core/limits.h"
+#include "core/values.h"
+#include "net/address.h"
+#include "settings_json/settings_json.h"
+
+namespace martencove {
+
+/// A value that is missing or makes no sense; the text begins with the field's name.
+class ConfigError : public std::runtime_error {
+public:
+    using std::runtime_error::runtime_error;
+};
+
+struct Config {
+    std::string name;
+    Address listen;
+    Address discovery;
+    std::uint64_t seed = 0;
+    std::optional<Address> peerListen;
+    std::vector<Address> peers;  ///< by their numbers in the settings
+    NodeList known;
+    limedrum::Site site;
+    Limits limits;
+};
+
+/// Reads `NODE_CONFIG` and the variables beside it, which go before the file's values.
+[[nodiscard]] Config readConfig();
+
+}  // namespace martencove
--- /dev/null
+++ b/src/core/desk.cpp
@@ -0,0 +1,124 @@
+#include "core/desk.h"
+
+#include <cmath>
+#include <string>
+
+namespace martencove {
+namespace {
+
+const char* nameOf(Ending ending) {
+    static constexpr const char* kNames[kEndings] = {
+        "attempt_served",        "attempt_error",  "attempt_turned_away", "attempt_timed_out",
+        "attempt_not_connected", "attempt_broken", "attempt_cancelled",   "attempt_not_sent"};
+    return kNames[static_cast<int>(ending)];
+}
+const char* nameOf(Verdict verdict) {
+    static constexpr const char* kNames[] = {"answer_served", "answer_refused", "answer_failed"};
+    return kNames[static_cast<int>(verdict)];
+}
+
+}  // namespace
+
+Desk::Desk(Facade& facade, const Clock& clock, const Limits& limits, Counters& counters, DeskPorts ports,
+           const NodeList& known)
+    : facade_(facade), clock_(clock), limits_(limits), counters_(counters), ports_(std::move(ports)) {
+    remember(known);
+}
+
+bool Desk::take(const Request& request, std::shared_ptr<Job> job) {
+    if (facade_.openRequests() >= limits_.openRequests || held_.contains(request.id)) return false;
+    counters_.add("request_taken");
+    held_[request.id].job = std::move(job);
+    carryOut(facade_.pick(nowMs(), request));
+    return true;
+}
+
+void Desk::over(const RequestId& id, int attempt, Ending ending) {
+    const auto at = held_.find(id);
+    if (at == held_.end()) return;
+    const auto out = at->second.out.find(attempt);
+    if (out == at->second.out.end()) return;
+    const Out sent = out->second;
+    at->second.out.erase(out);
+    counters_.add(nameOf(ending));
+    const double now = nowMs();
+    carryOut(facade_.report(now, Outcome{id, attempt, sent.node, ending, now - sent.sentMs}));
+    release(id);
+}
+
+void Desk::gone(const RequestId& id) {
+    if (!facade_.open(id)) return;
+    counters_.add("client_gone");
+    carryOut(facade_.report(nowMs(), id));
+    release(id);
+}
+
+void Desk::learn(const NodeList& list) {
+    remember(list);
+    carryOut(facade_.report(nowMs(), list));
+}
+
+void Desk::hear(const PeerMessage& message) { carryOut(facade_.report(nowMs(), message)); }
+
+void Desk::tick() { carryOut(facade_.tick(nowMs())); }
+
+// What carrying out leads to (an attempt that fails at once, say) waits its turn: the module is never called
+// from within its own answer.
+void Desk::carryOut(Todo todo) {
+    todos_.push_back(std::move(todo));
+    if (busy_) return;
+    busy_ = true;
+    while (!todos_.empty()) {
+        const Todo now = std::move(todos_.front());
+        todos_.pop_front();
+        for (const Answer& answer : now.answers) {
+            counters_.add(nameOf(answer.verdict));
+            const auto at = held_.find(answer.id);
+            if (at == held_.end()) continue;
+            const auto job = at->second.job;  // lives through the call
+            job->answer(answer);
+            release(answer.id);
+        }
+        for (const AttemptName& name : now.cancels) {
+            const auto at = held_.find(name.id);
+            if (at == held_.end() || !at->second.out.contains(name.number)) continue;
+            at->second.job->cancel(name.number);
+            over(name.id, name.number, Ending::cancelled);
+        }
+        for (const Attempt& attempt : now.attempts) carryOut(attempt);
+        for (const PeerMessage& message : now.messages) ports_.tell(message);
+        for (const std::string& note : now.notes) ports_.note(note);
+    }
+    busy_ = false;
+    const double next = facade_.nextTickMs();
+    if (std::isfinite(next)) ports_.wake(std::max(0.0, next - nowMs()));
+}
+
+void Desk::carryOut(const Attempt& attempt) {
+    const auto at = held_.find(attempt.id);
+    if (at == held_.end()) return;
+    at->second.out[attempt.number] = {attempt.node, nowMs()};
+    const auto node = nodes_.find(attempt.node);
+    // An answer carried out a moment ago may have overtaken this attempt: it does not go out.
+    if (node == nodes_.end() || !facade_.open(attempt.id))
+        return over(attempt.id, attempt.number, Ending::notSent);
+    counters_.add("attempt_sent");
+    const auto job = at->second.job;
+    job->send(attempt, node->second);
+}
+
+void Desk::release(const RequestId& id) {
+    const auto at = held_.find(id);
+    if (at != held_.end() && at->second.out.empty() && !facade_.open(id)) held_.erase(at);
+}
+
+// Nodes stay known after they have left the list: attempts may still be out there.
+void Desk::remember(const NodeList& list) {
+    for (const NodeEntry& node : list.nodes) {
+        if (node.state != NodeState::gone || !nodes_.contains(node.id)) nodes_[node.id] = node;
+    }
+    if (nodes_.size() <= limits_.nodes) return;
+    std::erase_if(nodes_, [](const auto& e) { return e.second.state == NodeState::gone; });
+}
+
+}  // namespace martencove
--- /dev/null
+++ b/src/core/facade.h
@@ -0,0 +1,47 @@
+// The decisions in plain calls: each says what happened and returns what to do now. Network code never sees
+// the module's events or actions. The facade owns each request's end: whatever races, one Answer comes out.
+#pragma once
+
+#include <limedrum/scheduler.h>
+
+#include <cstdint>
+#include <set>
+#include <unordered_map>
+#include <utility>
+
+#include "core/values.h"
+
+namespace martencove {
+
+class Facade {
+public:
+    Facade(limedrum::Settings settings, std::uint64_t seed, double nowMs, const NodeList& known);
+
+    /// A request was taken. What is not answered or sent at once is held: it comes out of a later call.
+    [[nodiscard]] Todo pick(double nowMs, const Request& request);
+    /// An attempt ended.
+    [[nodiscard]] Todo report(double nowMs, const Outcome& outcome);
+    /// The client of a request is gone: it gets no answer any more.
+    [[nodiscard]] Todo report(double nowMs, const RequestId& gone);
+    /// Discovery told something.
+    [[nodiscard]] Todo report(double nowMs, const NodeList& list);
+    /// A peer said something.
+    [[nodiscard]] Todo report(double nowMs, const PeerMessage& message);
+    /// Time has passed.
+    [[nodiscard]] Todo tick(double nowMs);
+    /// When tick() is due next.
+    [[nodiscard]] double nextTickMs() const;
+
+    [[nodiscard]] bool open(const RequestId& id) const { return open_.contains(id); }
+    [[nodiscard]] std::size_t openRequests() const { return open_.size(); }
+
+private:
+    Todo run(double nowMs, limedrum::Event event);
+    Todo translate(double nowMs, const std::vector<limedrum::Action>& actions);
+
+    limedrum::Scheduler scheduler_;
+    std::unordered_map<RequestId, int> open_;  // taken and not answered, with the attempts so far
+    std::set<std::pair<double, std::int64_t>> timers_;
+};
+
+}  // namespace martencove
--- /dev/null
+++ b/src/core/limits.h
@@ -0,0 +1,38 @@
+// Every size, count and time that bounds the program. Filled at start, handed down.
+#pragma once
+
+#include <cstddef>
+
+namespace martencove {
+
+struct Limits {
+    // Sizes, in bytes.
+    std::size_t body = 64 * 1024;
+    std::size_t headers = 8 * 1024;
+    std::size_t datagram = 256;
+    std::size_t listBody = 1024 * 1024;  // of an answer of discovery
+
+    // Counts.
+    std::size_t descriptors = 1024;
+    std::size_t spareDescriptors = 64;  // for what is neither a client's nor a node's connection
+    std::size_t clientConnections = 480;
+    std::size_t nodeConnections = 480;
+    std::size_t openRequests = 4096;
+    std::size_t nodes = 4096;
+    std::size_t logLinesPerSecond = 20;  // of one kind
+
+    // Times, in ms.
+    double dialMs = 250;
+    double nodeIdleMs = 15000;     // a node closes a connection idle for this long
+    double idlePart = 0.6;         // of it: an idle connection is retired
+    double clientIdleMs = 120000;  // a client's connection
+    double watchWaitMs = 5000;     // how long discovery may hold a call
+    double watchGraceMs = 2000;    // and how much later it counts as silent
+    double watchAgainMs = 100;     // rest after a failed call
+    double drainAcceptMs = 450;    // after SIGTERM: new connections are still taken
+    double drainQuietMs = 300;     // and after the listener's close: what is on its way still comes
+    double drainMostMs = 4600;     // and the longest that the end may take
+    double sweepMs = 250;          // between looks at idle connections
+};
+
+}  // namespace martencove
--- /dev/null
+++ b/src/core/values.h
@@ -0,0 +1,92 @@
+// What the core deals in: requests, attempts, outcomes, answers. No wire is known here.
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace martencove {
+
+using NodeId = std::uint32_t;
+using RequestId = std::string;
+
+/// A client's request, as a front has decoded it. Times are in ms of the program's clock.
+struct Request {
+    RequestId id;
+    int classNo = 0;
+    int planNo = 0;
+    std::string piece;
+    std::string volume;
+    double expiresMs = 0;
+    double units = 1;
+    int shard = -1;  ///< -1: a new object, any node may take it
+    int hosts = 1;   ///< schedulers through which the volume's requests come
+};
+
+/// One try of a request at a storage node; a request's attempts are numbered from 0.
+struct Attempt {
+    RequestId id;
+    int number = 0;
+    NodeId node = 0;
+    double timeoutMs = 0;
+};
+struct AttemptName {
+    RequestId id;
+    int number = 0;
+};
+
+enum class Ending { served, error, turnedAway, timedOut, notConnected, broken, cancelled, notSent };
+inline constexpr int kEndings = 8;
+
+/// How an attempt ended.
+struct Outcome {
+    RequestId id;
+    int attempt = 0;
+    NodeId node = 0;
+    Ending ending = Ending::served;
+    double tookMs = 0;
+};
+
+enum class Verdict { served, refused, failed };
+
+/// The one final answer to a request.
+struct Answer {
+    RequestId id;
+    Verdict verdict = Verdict::failed;
+    double retryAfterMs = 0;  ///< of a refusal: when to come back; 0: no advice
+};
+
+struct PeerMessage {
+    int peer = 0;
+    std::string text;
+};
+
+enum class NodeState { ready, draining, gone };
+
+struct NodeEntry {
+    NodeId id = 0;
+    std::string name;
+    std::string dial;
+    int zone = 0;
+    int shard = 0;
+    NodeState state = NodeState::ready;
+    double bornMs = 0;  ///< Unix time of its last start; 0: long ago
+};
+/// What discovery told: a whole list or the entries that changed.
+struct NodeList {
+    std::int64_t version = 0;
+    bool whole = false;
+    std::vector<NodeEntry> nodes;
+};
+
+/// What is to be done now, at the time of the call that returned it.
+struct Todo {
+    std::vector<Answer> answers;
+    std::vector<AttemptName> cancels;
+    std::vector<Attempt> attempts;
+    std::vector<PeerMessage> messages;
+    std::vector<std::string> notes;  ///< for the log
+};
+
+}  // namespace martencove
--- /dev/null
+++ b/src/http/front.cpp
@@ -0,0 +1,223 @@
+#include "http/front.h"
+
+#include <event2/listener.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cmath>
+#include <cstdio>
+#include <stdexcept>
+#include <vector>
+
+namespace martencove {
+
+/// A request of a client, until its answer is handed to its connection or the client is gone.
+class HttpJob final : public Job {
+public:
+    HttpJob(HttpFront& front, evhttp_request* request, HttpMessage message)
+        : front_(front), request_(request), message_(std::move(message)) {
+        // evhttp does not read while a request is in work, so the client's close must be looked for.
+        const auto fd =
+            bufferevent_getfd(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)));
+        watch_.reset(event_new(front.base_, fd, EV_READ, readable, this));
+        event_add(watch_.get(), nullptr);
+    }
+
+    const RequestId& id() const { return message_.request.id; }
+
+    void send(const Attempt& attempt, const NodeEntry& node) override {
+        NodeRequest request = message_.toNode;
+        request.headers.emplace_back("Req-Deadline-Ms",
+                                     std::to_string(std::max(1L, std::lround(attempt.timeoutMs))));
+        const int number = attempt.number;
+        const auto address = parseAddress(node.dial);
+        auto exchange = !address ? nullptr
+                                 : front_.pool_.send(
+                                       *address, request, attempt.timeoutMs,
+                                       [this, number](NodeReply reply) { ended(number, std::move(reply)); });
+        if (!exchange) return front_.desk_.over(id(), number, Ending::notConnected);
+        exchanges_[number] = std::move(exchange);
+    }
+
+    void cancel(int attempt) override { exchanges_.erase(attempt); }
+
+    void answer(const Answer& answer) override {
+        if (request_ == nullptr) return;
+        evhttp_request* request = release();
+        evkeyvalq* headers = evhttp_request_get_output_headers(request);
+        switch (answer.verdict) {
+            case Verdict::served:
+                if (!reply_.contentType.empty())
+                    evhttp_add_header(headers, "Content-Type", reply_.contentType.c_str());
+                return front_.reply(request, 200, "OK", reply_.body);
+            case Verdict::refused:
+                if (answer.retryAfterMs > 0) {
+                    char seconds[32];
+                    std::snprintf(seconds, sizeof seconds, "%.3f", answer.retryAfterMs / 1000);
+                    evhttp_add_header(headers, "Retry-After", seconds);
+                }
+                return front_.reply(request, 503, "Service Unavailable");
+            case Verdict::failed:
+                return front_.reply(request, 502, "Bad Gateway");
+        }
+    }
+
+    /// The client's connection is closing.
+    void disconnected() {
+        evhttp_request* request = release();
+        // evhttp has let go of a request whose connection broke by itself.
+        if (request != nullptr && evhttp_request_get_connection(request) == nullptr)
+            evhttp_request_free(request);
+        front_.desk_.gone(id());
+    }
+
+private:
+    void ended(int attempt, NodeReply reply) {
+        const Ending ending = reply.ending;
+        if (ending == Ending::served && reply_.ending != Ending::served) reply_ = std::move(reply);
+        exchanges_.erase(attempt);
+        front_.desk_.over(RequestId(id()), attempt, ending);
+    }
+
+    /// Takes the request from the connection's care.
+    evhttp_request* release() {
+        watch_.reset();
+        evhttp_request* request = std::exchange(request_, nullptr);
+        if (request == nullptr) return nullptr;
+        for (auto& [connection, job] : front_.connections_) {
+            if (job == this) job = nullptr;
+        }
+        return request;
+    }
+
+    static void readable(evutil_socket_t fd, short, void* arg) {
+        auto* self = static_cast<HttpJob*>(arg);
+        char byte = 0;
+        const ssize_t got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
+            event_add(self->watch_.get(), nullptr);
+            return;
+        }
+        if (got > 0) return;  // the next request came early: it waits for this one's answer
+        // Closes the connection, and with it frees the request.
+        evhttp_connection* connection = evhttp_request_get_connection(self->request_);
+        const RequestId id = self->id();
+        Desk& desk = self->front_.desk_;
+        self->release();
+        evhttp_connection_free(connection);
+        desk.gone(id);
+    }
+
+    HttpFront& front_;
+    evhttp_request* request_;  // null: answered, or the client is gone
+    HttpMessage message_;
+    NodeReply reply_;
+    std::map<int, std::unique_ptr<Exchange>> exchanges_;  // by attempt
+    Owned<event> watch_;
+};
+
+HttpFront::HttpFront(event_base* base, const Address& listen, Desk& desk, NodePool& pool,
+                     const limedrum::Site& site, const Limits& limits, BoundedLog& log)
+    : base_(base),
+      desk_(desk),
+      pool_(pool),
+      site_(site),
+      limits_(limits),
+      log_(log),
+      look_(base, [this] { look(); }),
+      server_(evhttp_new(base)) {
+    evhttp_set_max_body_size(server_.get(), static_cast<ev_ssize_t>(limits.body));
+    evhttp_set_max_headers_size(server_.get(), static_cast<ev_ssize_t>(limits.headers));
+    const timeval idle = timevalOf(limits.clientIdleMs);
+    evhttp_set_timeout_tv(server_.get(), &idle);
+    evhttp_set_gencb(server_.get(), requested, this);
+    evhttp_set_bevcb(server_.get(), accepted, this);
+    socket_ = evhttp_bind_socket_with_handle(server_.get(), listen.host.c_str(), listen.port);
+    if (socket_ == nullptr) throw std::runtime_error("listen: cannot bind " + listen.text());
+    look_.start(limits.sweepMs);
+}
+
+HttpFront::~HttpFront() = default;
+
+void HttpFront::close() {
+    if (socket_ != nullptr) evhttp_del_accept_socket(server_.get(), socket_);
+    socket_ = nullptr;
+    std::vector<evhttp_connection*> idle;
+    for (const auto& [connection, job] : connections_) {
+        if (job == nullptr) idle.push_back(connection);
+    }
+    for (evhttp_connection* connection : idle) evhttp_connection_free(connection);
+}
+
+bool HttpFront::crowded() const {
+    const int fd = fcntl(STDERR_FILENO, F_DUPFD_CLOEXEC, 0);  // the lowest that is free
+    if (fd >= 0) ::close(fd);
+    return fd < 0 || static_cast<std::size_t>(fd) + limits_.spareDescriptors >= limits_.descriptors ||
+           connections_.size() >= limits_.clientConnections;
+}
+
+// At the bound connections wait in the listener's queue; requests on those there are still come.
+void HttpFront::look() {
+    const bool accept = !crowded();
+    if (accept != accepting_ && socket_ != nullptr) {
+        evconnlistener* listener = evhttp_bound_socket_get_listener(socket_);
+        accept ? evconnlistener_enable(listener) : evconnlistener_disable(listener);
+        accepting_ = accept;
+        if (!accept) log_.warn("front", "no more connections taken for now");
+    }
+    look_.start(limits_.sweepMs);
+}
+
+bufferevent* HttpFront::accepted(event_base* base, void* arg) {
+    auto* self = static_cast<HttpFront*>(arg);
+    self->desk_.counters().add("client_connection");
+    if (self->accepting_ && self->crowded()) self->look_.start(0);
+    return bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+}
+
+void HttpFront::connectionClosed(evhttp_connection* connection, void* arg) {
+    auto* self = static_cast<HttpFront*>(arg);
+    const auto at = self->connections_.find(connection);
+    if (at == self->connections_.end()) return;
+    HttpJob* job = at->second;
+    self->connections_.erase(at);
+    if (job != nullptr) job->disconnected();
+}
+
+void HttpFront::requested(evhttp_request* request, void* self) {
+    static_cast<HttpFront*>(self)->take(request);
+}
+
+void HttpFront::take(evhttp_request* request) {
+    evhttp_connection* connection = evhttp_request_get_connection(request);
+    const char* uri = evhttp_request_get_uri(request);
+    const std::string path = uri == nullptr ? "" : uri;
+    if (connections_.emplace(connection, nullptr).second)
+        evhttp_connection_set_closecb(connection, connectionClosed, this);
+    if (path == "/healthz") return reply(request, 200, "OK", "ok\n");
+    if (path == "/counters") return reply(request, 200, "OK", desk_.counters().text());
+    std::string wrong;
+    auto message = decodeMessage(request, site_, desk_.nowMs(), wrong);
+    if (!message) {
+        desk_.counters().add("request_malformed");
+        log_.warn("client", "malformed request: " + wrong);
+        return reply(request, 400, "Bad Request");
+    }
+    const Request decoded = message->request;
+    const auto job = std::make_shared<HttpJob>(*this, request, std::move(*message));
+    connections_[connection] = job.get();
+    if (desk_.take(decoded, job)) return;
+    // Never in the desk's hands: turned away without a trace.
+    desk_.counters().add("request_not_taken");
+    job->answer({decoded.id, Verdict::refused, site_.module.maxRetryAfterMs});
+}
+
+void HttpFront::reply(evhttp_request* request, int code, const char* reason, const std::string& body) {
+    if (draining_) evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+    evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+    evhttp_send_reply(request, code, reason, nullptr);
+}
+
+}  // namespace martencove
--- /dev/null
+++ b/src/http/message.h
@@ -0,0 +1,33 @@
+// A client's request on the platform's protocol, decoded once.
+#pragma once
+
+#include <event2/http.h>
+
+#include <optional>
+#include <string>
+
+#include "core/values.h"
+#include "http/node_pool.h"
+#include "settings_json/settings_json.h"
+
+namespace martencove {
+
+/// What the core needs of it, and what passes on to a node.
+struct HttpMessage {
+    Request request;
+    NodeRequest toNode;
+};
+
+/// Nothing for what the protocol does not allow; `wrong` then says what.
+[[nodiscard]] std::optional<HttpMessage> decodeMessage(evhttp_request* from, const limedrum::Site& site,
+                                                       double nowMs, std::string& wrong);
+
+/// The fields of "units=2,shard=5,hosts=3".
+struct IoInfo {
+    double units = 1;
+    int shard = -1;
+    int hosts = 1;
+};
+[[nodiscard]] std::optional<IoInfo> decodeIoInfo(std::string_view text);
+
+}  // namespace martencove
--- /dev/null
+++ b/src/main.cpp
@@ -0,0 +1,113 @@
+// martencove: a request scheduler for storage nodes. Wires the parts and runs until it is told to end.
+#include <csignal>
+#include <cstdio>
+#include <exception>
+#include <optional>
+
+#include "config/config.h"
+#include "core/desk.h"
+#include "http/front.h"
+#include "net/discovery.h"
+#include "net/log.h"
+#include "net/loop.h"
+#include "net/peers.h"
+
+namespace martencove {
+namespace {
+
+class Program {
+public:
+    explicit Program(Config config)
+        : config_(std::move(config)),
+          base_(makeBase()),
+          log_(clock_, config_.limits),
+          tick_(base_.get(), [this] { desk_.tick(); }),
+          facade_(config_.site.module, config_.seed, clock_.nowMs(), config_.known),
+          desk_(facade_, clock_, config_.limits, counters_, ports(), config_.known),
+          pool_(base_.get(), clock_, config_.limits, counters_),
+          discovery_(base_.get(), config_.discovery, config_.known.version, config_.limits, counters_, log_,
+                     [this](const NodeList& list) { desk_.learn(list); }),
+          front_(base_.get(), config_.listen, desk_, pool_, config_.site, config_.limits, log_),
+          term_(base_.get(), SIGTERM, [this] { drain(); }),
+          interrupt_(base_.get(), SIGINT, [this] { drain(); }),
+          usr1_(base_.get(), SIGUSR1, [this] { printCounters(); }),
+          end_(base_.get(), [this] { endSoon(); }) {
+        if (config_.peerListen)
+            peers_.emplace(base_.get(), *config_.peerListen, config_.peers, config_.limits, counters_, log_,
+                           [this](const PeerMessage& message) { desk_.hear(message); });
+        desk_.tick();
+        spdlog::info("{} listens on {}, {} nodes known", config_.name, config_.listen.text(),
+                     config_.known.nodes.size());
+    }
+
+    void run() {
+        event_base_dispatch(base_.get());
+        printCounters();
+    }
+
+private:
+    DeskPorts ports() {
+        return {[this](double ms) { tick_.start(ms); },
+                [this](const PeerMessage& message) {
+                    peers_ ? peers_->tell(message) : counters_.add("peer_unsent");
+                },
+                [](const std::string& note) { spdlog::info("module: {}", note); }};
+    }
+
+    // New connections still come for a while, and what was taken is finished.
+    void drain() {
+        if (drainedMs_) return;
+        drainedMs_ = clock_.nowMs();
+        spdlog::info("ending: {} requests open", desk_.open());
+        front_.drain();
+        end_.start(config_.limits.drainAcceptMs);
+    }
+
+    void endSoon() {
+        const double passedMs = clock_.nowMs() - *drainedMs_;
+        const Limits& limits = config_.limits;
+        front_.close();
+        const bool quiet = passedMs >= limits.drainAcceptMs + limits.drainQuietMs && desk_.open() == 0;
+        if (!quiet && passedMs < limits.drainMostMs) return end_.start(20);
+        spdlog::info("ended: {} requests open", desk_.open());
+        event_base_loopbreak(base_.get());
+    }
+
+    void printCounters() const {
+        std::string line;
+        for (const char c : counters_.text()) line += c == '\n' ? ',' : c;
+        spdlog::info("counters: {}", line);
+    }
+
+    Config config_;
+    Clock clock_;
+    Counters counters_;
+    Owned<event_base> base_;
+    BoundedLog log_;
+    std::optional<Peers> peers_;
+    Timer tick_;
+    Facade facade_;
+    Desk desk_;
+    NodePool pool_;
+    Discovery discovery_;
+    HttpFront front_;
+    SignalWatch term_;
+    SignalWatch interrupt_;
+    SignalWatch usr1_;
+    Timer end_;
+    std::optional<double> drainedMs_;
+};
+
+}  // namespace
+}  // namespace martencove
+
+int main() {
+    std::signal(SIGPIPE, SIG_IGN);
+    try {
+        martencove::Program(martencove::readConfig()).run();
+    } catch (const std::exception& error) {
+        std::fprintf(stderr, "martencove: %s\n", error.what());
+        return 1;
+    }
+    return 0;
+}
--- /dev/null
+++ b/src/net/discovery.h
@@ -0,0 +1,41 @@
+// The watch on discovery's list of storage nodes.
+#pragma once
+
+#include <functional>
+
+#include "core/counters.h"
+#include "core/limits.h"
+#include "core/values.h"
+#include "net/address.h"
+#include "net/log.h"
+#include "net/loop.h"
+
+namespace martencove {
+
+class Discovery {
+public:
+    Discovery(event_base* base, Address address, std::int64_t version, const Limits& limits,
+              Counters& counters, BoundedLog& log, std::function<void(const NodeList&)> told);
+    Discovery(const Discovery&) = delete;
+    Discovery& operator=(const Discovery&) = delete;
+
+private:
+    static void answered(evhttp_request* request, void* self);
+    void call();
+    void take(const std::string& text);
+    /// A call that failed or fell silent: a new connection, after a short rest.
+    void again();
+
+    event_base* base_;
+    Address address_;
+    std::int64_t version_;
+    const Limits& limits_;
+    Counters& counters_;
+    BoundedLog& log_;
+    std::function<void(const NodeList&)> told_;
+    Owned<evhttp_connection> connection_;
+    Timer next_;
+    Timer silence_;
+};
+
+}  // namespace martencove
--- /dev/null
+++ b/src/net/loop.cpp
@@ -0,0 +1,42 @@
+#include "net/loop.h"
+
+#include <algorithm>
+#include <new>
+
+namespace martencove {
+namespace {
+
+void callBack(evutil_socket_t, short, void* arg) { (*static_cast<std::function<void()>*>(arg))(); }
+
+template <typename Handle>
+Owned<Handle> owned(Handle* handle) {
+    if (handle == nullptr) throw std::bad_alloc();
+    return Owned<Handle>(handle);
+}
+
+}  // namespace
+
+Owned<event_base> makeBase() {
+    const std::unique_ptr<event_config, decltype(&event_config_free)> config(event_config_new(),
+                                                                             &event_config_free);
+    // Without it a timer is up to 1 ms late, which each attempt's and each round's end would add up.
+    event_config_set_flag(config.get(), EVENT_BASE_FLAG_PRECISE_TIMER);
+    return owned(event_base_new_with_config(config.get()));
+}
+
+Timer::Timer(event_base* base, std::function<void()> then)
+    : then_(std::move(then)), event_(owned(evtimer_new(base, callBack, &then_))) {}
+
+void Timer::start(double ms) {
+    const timeval after = timevalOf(std::max(ms, 0.0));
+    evtimer_add(event_.get(), &after);
+}
+
+void Timer::stop() { evtimer_del(event_.get()); }
+
+SignalWatch::SignalWatch(event_base* base, int signal, std::function<void()> then)
+    : then_(std::move(then)), event_(owned(evsignal_new(base, signal, callBack, &then_))) {
+    evsignal_add(event_.get(), nullptr);
+}
+
+}  // namespace martencove
--- /dev/null
+++ b/src/net/loop.h
@@ -0,0 +1,60 @@
+// libevent's handles with owners, and timers.
+#pragma once
+
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/http.h>
+
+#include <functional>
+#include <memory>
+
+namespace martencove {
+
+struct Freed {
+    void operator()(event_base* p) const { event_base_free(p); }
+    void operator()(event* p) const { event_free(p); }
+    void operator()(evhttp* p) const { evhttp_free(p); }
+    void operator()(evhttp_connection* p) const { evhttp_connection_free(p); }
+    void operator()(evbuffer* p) const { evbuffer_free(p); }
+    void operator()(bufferevent* p) const { bufferevent_free(p); }
+};
+template <typename Handle>
+using Owned = std::unique_ptr<Handle, Freed>;
+
+[[nodiscard]] Owned<event_base> makeBase();
+
+[[nodiscard]] inline timeval timevalOf(double ms) {
+    const auto us = static_cast<long long>(ms * 1000);
+    return {static_cast<time_t>(us / 1000000), static_cast<suseconds_t>(us % 1000000)};
+}
+
+/// Calls back once after each start(), or again and again where it is told so. Not movable: libevent holds
+/// it.
+class Timer {
+public:
+    Timer(event_base* base, std::function<void()> then);
+    Timer(const Timer&) = delete;
+    Timer& operator=(const Timer&) = delete;
+
+    void start(double ms);
+    void stop();
+
+private:
+    std::function<void()> then_;
+    Owned<event> event_;
+};
+
+/// Calls back at a signal.
+class SignalWatch {
+public:
+    SignalWatch(event_base* base, int signal, std::function<void()> then);
+    SignalWatch(const SignalWatch&) = delete;
+    SignalWatch& operator=(const SignalWatch&) = delete;
+
+private:
+    std::function<void()> then_;
+    Owned<event> event_;
+};
+
+}  // namespace martencove
