--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -48,7 +48,6 @@
 }
 
 Config decode(const Json& json) {
-    if (!json.is_object()) complain("NODE_CONFIG", "not a JSON object");
     Config out;
     out.name = told(json, "NODE_NAME", "name");
     out.listen = address(told(json, "NODE_LISTEN", "listen"), "listen");
@@ -60,7 +59,11 @@
             out.peers.push_back(address(text(peer, "peers"), "peers"));
     }
     out.site = limedrum::decodeSettings(need(json, "settings"));
-    out.known = decodeNodeList(need(json, "known"));
+    try {
+        out.known = decodeNodeList(need(json, "known"));
+    } catch (const FieldError& error) {
+        complain("known", error.what());
+    }
 
     Limits& limits = out.limits;
     limits.descriptors = count(part(json, "limits"), "sockets", limits.descriptors, 64);
@@ -80,17 +83,21 @@
 
 }  // namespace
 
+Json readJsonFile(const std::string& path, const char* name) {
+    std::ifstream file(path);
+    if (!file) complain(name, "cannot read '" + path + "'");
+    std::ostringstream content;
+    content << file.rdbuf();
+    Json json = Json::parse(content.str(), nullptr, false);
+    if (!json.is_object()) complain(name, "not a JSON object");
+    return json;
+}
+
 Config readConfig() {
     const std::string path = variable("NODE_CONFIG");
     if (path.empty()) throw ConfigError("NODE_CONFIG: not set");
-    std::ifstream file(path);
-    if (!file) throw ConfigError("NODE_CONFIG: cannot read '" + path + "'");
-    std::ostringstream text;
-    text << file.rdbuf();
     try {
-        const Json json = Json::parse(text.str(), nullptr, false);
-        if (json.is_discarded()) complain("NODE_CONFIG", "not JSON");
-        return decode(json);
+        return decode(readJsonFile(path, "NODE_CONFIG"));
     } catch (const FieldError& error) {
         throw ConfigError(error.what());
     }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -32,6 +33,9 @@
     Limits limits;
 };
 
+/// Throws limedrum::fields::FieldError, beginning with `name`.
+[[nodiscard]] nlohmann::json readJsonFile(const std::string& path, const char* name);
+
 /// Reads `NODE_CONFIG` and the variables beside it, which go before the file's values.
 [[nodiscard]] Config readConfig();
 
--- a/src/core/desk.h
+++ b/src/core/desk.h
@@ -47,6 +47,8 @@
     void learn(const NodeList& list);
     void hear(const PeerMessage& message);
     void tick();
+    /// The program ends: lets go of what is still held, before the parts that jobs stand on.
+    void letGo() { held_.clear(); }
 
     [[nodiscard]] bool idle() const { return held_.empty(); }
     [[nodiscard]] std::size_t open() const { return facade_.openRequests(); }
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -10,6 +10,8 @@
     std::size_t body = 64 * 1024;
     std::size_t headers = 8 * 1024;
     std::size_t datagram = 256;
+    std::size_t nbdOption = 4200;        // an option's data: two names at the most
+    std::size_t nbdUnsent = 256 * 1024;  // replies that a client has not read: no more commands are taken
     std::size_t listBody = 1024 * 1024;  // of an answer of discovery
 
     // Counts.
@@ -19,6 +21,10 @@
     std::size_t nodeConnections = 480;
     std::size_t openRequests = 4096;
     std::size_t nodes = 4096;
+    std::size_t nbdClients = 32;
+    std::size_t nbdCommands = 16;        // in work for one client
+    std::size_t nbdOptions = 64;         // in one handshake
+    std::size_t nbdChunks = 1024;        // of one reply
     std::size_t logLinesPerSecond = 20;  // of one kind
 
     // Times, in ms.
@@ -26,13 +32,15 @@
     double nodeIdleMs = 15000;     // a node closes a connection idle for this long
     double idlePart = 0.6;         // of it: an idle connection is retired
     double clientIdleMs = 120000;  // a client's connection
+    double crowdedIdleMs = 1000;   // and at the bound, one that may make room
     double watchWaitMs = 5000;     // how long discovery may hold a call
     double watchGraceMs = 2000;    // and how much later it counts as silent
     double watchAgainMs = 100;     // rest after a failed call
     double drainAcceptMs = 450;    // after SIGTERM: new connections are still taken
     double drainQuietMs = 300;     // and after the listener's close: what is on its way still comes
     double drainMostMs = 4600;     // and the longest that the end may take
-    double sweepMs = 250;          // between looks at idle connections
+    double nbdHandshakeMs = 5000;
+    double sweepMs = 250;  // between looks at idle connections
 };
 
 }  // namespace martencove
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cmath>
 #include <cstdio>
@@ -25,6 +26,10 @@
         event_add(watch_.get(), nullptr);
     }
 
+    ~HttpJob() override { release(); }
+    HttpJob(const HttpJob&) = delete;
+    HttpJob& operator=(const HttpJob&) = delete;
+
     const RequestId& id() const { return message_.request.id; }
 
     void send(const Attempt& attempt, const NodeEntry& node) override {
@@ -86,8 +91,8 @@
         watch_.reset();
         evhttp_request* request = std::exchange(request_, nullptr);
         if (request == nullptr) return nullptr;
-        for (auto& [connection, job] : front_.connections_) {
-            if (job == this) job = nullptr;
+        for (auto& [connection, client] : front_.connections_) {
+            if (client.job == this) client.job = nullptr;
         }
         return request;
     }
@@ -144,11 +149,18 @@
 void HttpFront::close() {
     if (socket_ != nullptr) evhttp_del_accept_socket(server_.get(), socket_);
     socket_ = nullptr;
-    std::vector<evhttp_connection*> idle;
-    for (const auto& [connection, job] : connections_) {
-        if (job == nullptr) idle.push_back(connection);
+    closeIdle(connections_.size(), 0);
+}
+
+void HttpFront::closeIdle(std::size_t most, double idleMs) {
+    std::vector<std::pair<double, evhttp_connection*>> idle;
+    for (const auto& [connection, client] : connections_) {
+        if (client.job == nullptr && client.usedMs <= desk_.nowMs() - idleMs)
+            idle.emplace_back(client.usedMs, connection);
     }
-    for (evhttp_connection* connection : idle) evhttp_connection_free(connection);
+    std::sort(idle.begin(), idle.end());
+    idle.resize(std::min(idle.size(), most));
+    for (const auto& [usedMs, connection] : idle) evhttp_connection_free(connection);
 }
 
 bool HttpFront::crowded() const {
@@ -158,8 +170,10 @@
            connections_.size() >= limits_.clientConnections;
 }
 
-// At the bound connections wait in the listener's queue; requests on those there are still come.
+// At the bound the longest idle connections make room, and new ones wait in the listener's queue meanwhile;
+// requests on those there are still come.
 void HttpFront::look() {
+    if (crowded()) closeIdle(limits_.spareDescriptors, limits_.crowdedIdleMs);
     const bool accept = !crowded();
     if (accept != accepting_ && socket_ != nullptr) {
         evconnlistener* listener = evhttp_bound_socket_get_listener(socket_);
@@ -181,7 +195,7 @@
     auto* self = static_cast<HttpFront*>(arg);
     const auto at = self->connections_.find(connection);
     if (at == self->connections_.end()) return;
-    HttpJob* job = at->second;
+    HttpJob* job = at->second.job;
     self->connections_.erase(at);
     if (job != nullptr) job->disconnected();
 }
@@ -194,8 +208,9 @@
     evhttp_connection* connection = evhttp_request_get_connection(request);
     const char* uri = evhttp_request_get_uri(request);
     const std::string path = uri == nullptr ? "" : uri;
-    if (connections_.emplace(connection, nullptr).second)
-        evhttp_connection_set_closecb(connection, connectionClosed, this);
+    const auto [client, fresh] = connections_.try_emplace(connection);
+    client->second.usedMs = desk_.nowMs();
+    if (fresh) evhttp_connection_set_closecb(connection, connectionClosed, this);
     if (path == "/healthz") return reply(request, 200, "OK", "ok\n");
     if (path == "/counters") return reply(request, 200, "OK", desk_.counters().text());
     std::string wrong;
@@ -207,7 +222,7 @@
     }
     const Request decoded = message->request;
     const auto job = std::make_shared<HttpJob>(*this, request, std::move(*message));
-    connections_[connection] = job.get();
+    client->second.job = job.get();
     if (desk_.take(decoded, job)) return;
     // Never in the desk's hands: turned away without a trace.
     desk_.counters().add("request_not_taken");
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -36,6 +36,8 @@
     static void connectionClosed(evhttp_connection* connection, void* self);
     void take(evhttp_request* request);
     void reply(evhttp_request* request, int code, const char* reason, const std::string& body = "");
+    /// Closes connections that have been idle longest; their clients come back on new ones.
+    void closeIdle(std::size_t most, double idleMs);
     /// Whether so many descriptors are in use that no more connections are taken.
     bool crowded() const;
     void look();
@@ -48,7 +50,11 @@
     BoundedLog& log_;
     bool draining_ = false;
     bool accepting_ = true;
-    std::map<evhttp_connection*, HttpJob*> connections_;  // with the request in work, if any
+    struct Client {
+        HttpJob* job = nullptr;  // the request in work
+        double usedMs = 0;       // when the last one came
+    };
+    std::map<evhttp_connection*, Client> connections_;
     evhttp_bound_socket* socket_ = nullptr;
     Timer look_;
     Owned<evhttp> server_;  // last: its end closes the connections
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,10 +3,13 @@
 #include <cstdio>
 #include <exception>
 #include <optional>
+#include <string_view>
 
 #include "config/config.h"
+#include "config/nbd_config.h"
 #include "core/desk.h"
 #include "http/front.h"
+#include "nbd/front.h"
 #include "net/discovery.h"
 #include "net/log.h"
 #include "net/loop.h"
@@ -17,7 +20,7 @@
 
 class Program {
 public:
-    explicit Program(Config config)
+    Program(Config config, std::optional<NbdConfig> nbd)
         : config_(std::move(config)),
           base_(makeBase()),
           log_(clock_, config_.limits),
@@ -35,6 +38,10 @@
         if (config_.peerListen)
             peers_.emplace(base_.get(), *config_.peerListen, config_.peers, config_.limits, counters_, log_,
                            [this](const PeerMessage& message) { desk_.hear(message); });
+        if (nbd) {
+            nbdPool_.emplace(base_.get(), clock_, config_.limits, counters_);
+            nbdFront_.emplace(base_.get(), std::move(*nbd), desk_, *nbdPool_, config_.limits, log_);
+        }
         desk_.tick();
         spdlog::info("{} listens on {}, {} nodes known", config_.name, config_.listen.text(),
                      config_.known.nodes.size());
@@ -42,6 +49,7 @@
 
     void run() {
         event_base_dispatch(base_.get());
+        desk_.letGo();
         printCounters();
     }
 
@@ -67,7 +75,9 @@
         const double passedMs = clock_.nowMs() - *drainedMs_;
         const Limits& limits = config_.limits;
         front_.close();
-        const bool quiet = passedMs >= limits.drainAcceptMs + limits.drainQuietMs && desk_.open() == 0;
+        if (nbdFront_) nbdFront_->close();
+        const bool quiet = passedMs >= limits.drainAcceptMs + limits.drainQuietMs && desk_.open() == 0 &&
+                           (!nbdFront_ || nbdFront_->quiet());
         if (!quiet && passedMs < limits.drainMostMs) return end_.start(20);
         spdlog::info("ended: {} requests open", desk_.open());
         event_base_loopbreak(base_.get());
@@ -91,6 +101,8 @@
     NodePool pool_;
     Discovery discovery_;
     HttpFront front_;
+    std::optional<nbd::Pool> nbdPool_;
+    std::optional<nbd::Front> nbdFront_;
     SignalWatch term_;
     SignalWatch interrupt_;
     SignalWatch usr1_;
@@ -101,10 +113,17 @@
 }  // namespace
 }  // namespace martencove
 
-int main() {
+int main(int argc, char** argv) {
     std::signal(SIGPIPE, SIG_IGN);
     try {
-        martencove::Program(martencove::readConfig()).run();
+        martencove::Config config = martencove::readConfig();
+        std::optional<martencove::NbdConfig> nbd;
+        if (argc == 3 && std::string_view(argv[1]) == "--nbd") {
+            nbd = martencove::readNbdConfig(argv[2], config.site);
+        } else if (argc != 1) {
+            throw martencove::ConfigError("usage: martencove [--nbd FILE]");
+        }
+        martencove::Program(std::move(config), std::move(nbd)).run();
     } catch (const std::exception& error) {
         std::fprintf(stderr, "martencove: %s\n", error.what());
         return 1;
--- /dev/null
+++ b/src/nbd/front.cpp
@@ -0,0 +1,405 @@
+#include "nbd/front.h"
+
+#include <event2/listener.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cmath>
+#include <cstdio>
+#include <set>
+#include <stdexcept>
+
+namespace martencove::nbd {
+namespace {
+
+/// The text of a refusal says when to come back.
+std::string refusalText(double retryAfterMs) {
+    if (retryAfterMs <= 0) return "refused, never ran: come back at any time";
+    char text[80];
+    std::snprintf(text, sizeof text, "refused, never ran: come back in %.3f s", retryAfterMs / 1000);
+    return text;
+}
+
+}  // namespace
+
+class NbdJob;
+
+/// One client's connection: the handshake, then commands, several at a time.
+class Session {
+public:
+    Session(Front& front, evutil_socket_t fd)
+        : front_(front),
+          socket_(bufferevent_socket_new(front.base_, fd, BEV_OPT_CLOSE_ON_FREE)),
+          handshake_(front.base_, [this] { drop("handshake took too long"); }) {
+        bufferevent_setcb(socket_.get(), readable, written, happened, this);
+        bufferevent_setwatermark(socket_.get(), EV_READ, 0, 2 * front.limits_.body);
+        bufferevent_enable(socket_.get(), EV_READ | EV_WRITE);
+        handshake_.start(front.limits_.nbdHandshakeMs);
+        write(encode(Greeting{kFixedNewstyle | kNoZeroes}));
+    }
+
+    /// The server ends: what is open is finished first.
+    void drain() {
+        if (state_ == State::flags) return end();
+        if (state_ != State::commands) return;  // the next option is told so
+        read();
+        endIfDone();
+    }
+
+    void answer(std::uint64_t cookie, Error error, const std::string& text, std::uint64_t offset,
+                std::string_view data);
+    bool inHandshake() const { return state_ == State::flags || state_ == State::options; }
+    void over(NbdJob* job) { jobs_.erase(job); }
+    void resume() {
+        read();
+        endIfDone();
+    }
+
+private:
+    friend class Front;
+    enum class State { flags, options, commands, ending };
+
+    static void readable(bufferevent*, void* self) { static_cast<Session*>(self)->read(); }
+    static void written(bufferevent*, void* arg) {
+        auto* self = static_cast<Session*>(arg);
+        if (self->state_ == State::ending && self->jobs_.empty()) return self->front_.remove(*self);
+        self->read();
+    }
+    static void happened(bufferevent*, short, void* arg) { static_cast<Session*>(arg)->lost(); }
+
+    void read() {
+        // An answer given within the call that took its command asks for more: the loop below goes on anyhow,
+        // and a second one would take the same bytes twice.
+        if (reading_) return;
+        reading_ = true;
+        evbuffer* input = bufferevent_get_input(socket_.get());
+        Got got = Got::whole;
+        while (got == Got::whole && mayTakeMore()) {
+            const std::size_t size = evbuffer_get_length(input);
+            if (size == 0) break;
+            std::string_view rest(reinterpret_cast<const char*>(evbuffer_pullup(input, -1)), size);
+            got = step(rest);
+            evbuffer_drain(input, size - rest.size());
+        }
+        reading_ = false;
+        if (got == Got::bad) drop("malformed message");
+    }
+
+    // A client that sends faster than it is served, or does not read, waits: its bytes stay in its socket.
+    bool mayTakeMore() const {
+        return state_ != State::ending && !gone_ && jobs_.size() < front_.limits_.nbdCommands &&
+               evbuffer_get_length(bufferevent_get_output(socket_.get())) < front_.limits_.nbdUnsent;
+    }
+
+    Got step(std::string_view& in) {
+        if (state_ == State::options) return option(in);
+        if (state_ == State::commands) return command(in);
+        std::uint32_t flags = 0;
+        const Got got = takeClientFlags(in, flags);
+        if (got != Got::whole) return got;
+        if ((flags & ~std::uint32_t{kFixedNewstyle | kNoZeroes}) != 0 || (flags & kFixedNewstyle) == 0)
+            return Got::bad;
+        zeroes_ = (flags & kNoZeroes) == 0;
+        state_ = State::options;
+        return got;
+    }
+
+    Got option(std::string_view& in) {
+        OptionMessage message;
+        const Got got = take(in, message, front_.limits_.nbdOption);
+        if (got != Got::whole) return got;
+        if (++options_ > front_.limits_.nbdOptions) return Got::bad;
+        const auto say = [&](OptionReply reply, const std::string& data = "") {
+            write(encode(OptionAnswer{message.option, reply, data}));
+        };
+        if (front_.closing_ && message.option != Option::abort) {
+            if (message.option != Option::exportName) say(OptionReply::shutdown);
+            end();
+            return got;
+        }
+        switch (message.option) {
+            case Option::exportName: {
+                export_ = front_.config_.find(message.data);
+                if (export_ == nullptr) return Got::bad;  // this option has no answer for it but the close
+                write(encodeOldExport(infoOf(*export_), zeroes_));
+                begin();
+                return got;
+            }
+            case Option::abort:
+                say(OptionReply::ack);
+                end();
+                return got;
+            case Option::list:
+                if (!message.data.empty()) return say(OptionReply::invalid), got;
+                for (const NbdExport& e : front_.config_.exports)
+                    say(OptionReply::server, encodeListed(e.name));
+                say(OptionReply::ack);
+                return got;
+            case Option::structuredReply:
+                if (!message.data.empty()) return say(OptionReply::invalid), got;
+                structured_ = true;
+                say(OptionReply::ack);
+                return got;
+            case Option::info:
+            case Option::go: {
+                const auto request = decodeInfoRequest(message.data);
+                if (!request) return say(OptionReply::invalid), got;
+                const NbdExport* found = front_.config_.find(request->name);
+                if (found == nullptr) return say(OptionReply::unknown), got;
+                say(OptionReply::info, encodeExport(infoOf(*found)));
+                say(OptionReply::info, encodeBlockSizes(static_cast<std::uint32_t>(front_.limits_.body)));
+                say(OptionReply::ack);
+                if (message.option == Option::go) {
+                    export_ = found;
+                    begin();
+                }
+                return got;
+            }
+        }
+        say(OptionReply::unsupported);
+        return got;
+    }
+
+    ExportInfo infoOf(const NbdExport& e) const {
+        const std::uint16_t flags = kHasFlags | (e.readOnly ? kReadOnly : 0) | (structured_ ? kSendDf : 0);
+        return {e.bytes, flags};
+    }
+
+    void begin() {
+        handshake_.stop();
+        state_ = State::commands;
+        front_.desk_.counters().add("nbd_handshake");
+    }
+
+    Got command(std::string_view& in);
+
+    void write(const std::string& bytes) { bufferevent_write(socket_.get(), bytes.data(), bytes.size()); }
+
+    void drop(const std::string& why) {
+        front_.desk_.counters().add("nbd_client_bad");
+        front_.log_.warn("nbd client", why);
+        lost();
+    }
+    /// The connection is no more: what is open has no client.
+    void lost();
+    /// No more commands; the connection closes once all is answered and written.
+    void end() {
+        handshake_.stop();
+        state_ = State::ending;
+        endIfDone();
+    }
+    void endIfDone() {
+        if (gone_ || !jobs_.empty()) return;
+        if (state_ == State::commands && front_.closing_) state_ = State::ending;
+        if (state_ != State::ending) return;
+        if (evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0) front_.remove(*this);
+    }
+
+    Front& front_;
+    Owned<bufferevent> socket_;
+    Timer handshake_;
+    State state_ = State::flags;
+    bool zeroes_ = true;
+    bool structured_ = false;
+    bool gone_ = false;
+    bool reading_ = false;
+    std::size_t options_ = 0;
+    const NbdExport* export_ = nullptr;
+    std::set<NbdJob*> jobs_;
+};
+
+/// A command, until it is answered or its client is gone.
+class NbdJob final : public Job {
+public:
+    NbdJob(Front& front, Session& session, RequestId id, const NbdExport& from, CommandMessage command)
+        : front_(front),
+          session_(&session),
+          id_(std::move(id)),
+          export_(from),
+          command_(std::move(command)) {}
+
+    ~NbdJob() override {
+        if (session_ != nullptr) session_->over(this);
+    }
+    NbdJob(const NbdJob&) = delete;
+    NbdJob& operator=(const NbdJob&) = delete;
+
+    const RequestId& id() const { return id_; }
+    void disconnect() { session_ = nullptr; }
+
+    void send(const Attempt& attempt, const NodeEntry& node) override {
+        const int number = attempt.number;
+        const auto at = front_.config_.nodes.find(node.name);
+        std::unique_ptr<Exchange> exchange;
+        if (at != front_.config_.nodes.end()) {
+            const Work work{export_.name, command_.command == Command::write, command_.offset,
+                            command_.length, command_.data};
+            exchange = front_.pool_.send(at->second, work, attempt.timeoutMs,
+                                         [this, number](Result result) { ended(number, std::move(result)); });
+        }
+        if (!exchange) return front_.desk_.over(RequestId(id_), number, Ending::notConnected);
+        exchanges_[number] = std::move(exchange);
+    }
+
+    void cancel(int attempt) override { exchanges_.erase(attempt); }
+
+    void answer(const Answer& answer) override {
+        Session* session = std::exchange(session_, nullptr);
+        if (session == nullptr) return;
+        session->over(this);
+        const bool read = command_.command == Command::read;
+        switch (answer.verdict) {
+            case Verdict::served:
+                session->answer(command_.cookie, Error::none, "", command_.offset, read ? result_.data : "");
+                break;
+            case Verdict::refused:
+                session->answer(command_.cookie, Error::noMemory, refusalText(answer.retryAfterMs), 0, "");
+                break;
+            case Verdict::failed:
+                session->answer(command_.cookie, Error::io, "failed: it may have run", 0, "");
+                break;
+        }
+        session->resume();
+    }
+
+private:
+    void ended(int attempt, Result result) {
+        const Ending ending = result.ending;
+        if (ending == Ending::served && result_.ending != Ending::served) result_ = std::move(result);
+        exchanges_.erase(attempt);
+        front_.desk_.over(RequestId(id_), attempt, ending);
+    }
+
+    Front& front_;
+    Session* session_;  // null: answered, or the client is gone
+    RequestId id_;
+    const NbdExport& export_;
+    CommandMessage command_;
+    Result result_;
+    std::map<int, std::unique_ptr<Exchange>> exchanges_;  // by attempt
+};
+
+void Session::answer(std::uint64_t cookie, Error error, const std::string& text, std::uint64_t offset,
+                     std::string_view data) {
+    if (!structured_) return write(encode(SimpleReply{error, cookie}).append(data));
+    const auto chunk = [&](Chunk type, std::string payload) {
+        write(encode(ChunkMessage{kDone, type, cookie, std::move(payload)}));
+    };
+    if (error != Error::none) return chunk(Chunk::error, encodeError({error, text}));
+    data.empty() ? chunk(Chunk::none, "") : chunk(Chunk::data, encodeData(offset, data));
+}
+
+Got Session::command(std::string_view& in) {
+    CommandMessage message;
+    const Got got = take(in, message, front_.limits_.body);
+    if (got != Got::whole) return got;
+    if (message.command == Command::disconnect) {
+        end();
+        return got;
+    }
+    const auto refuse = [&](Error error, const std::string& text) {
+        front_.desk_.counters().add("nbd_command_invalid");
+        answer(message.cookie, error, text, 0, "");
+        return got;
+    };
+    const bool write = message.command == Command::write;
+    if (write && message.length > front_.limits_.body) {
+        refuse(Error::invalid, "write longer than the largest block");
+        end();  // its data cannot be told from what follows
+        return got;
+    }
+    if (front_.closing_) return refuse(Error::shutdown, "shutting down, never ran");
+    if (!write && message.command != Command::read) return refuse(Error::invalid, "command not offered");
+    if ((message.flags & ~(structured_ ? kFlagDf : 0)) != 0)
+        return refuse(Error::invalid, "flag not offered");
+    if (write && export_->readOnly) return refuse(Error::invalid, "the export is read-only");
+    if (message.length == 0 || message.length > front_.limits_.body)
+        return refuse(Error::invalid, "length not allowed");
+    if (message.offset > export_->bytes || message.length > export_->bytes - message.offset)
+        return refuse(write ? Error::noSpace : Error::invalid, "beyond the export's end");
+
+    Request r;
+    r.id = "nbd-" + std::to_string(++front_.taken_);
+    r.classNo = write ? export_->writeClass : export_->readClass;
+    r.planNo = export_->planNo;
+    r.piece = export_->name + '@' + std::to_string(message.offset);
+    r.volume = export_->volume;
+    r.expiresMs = front_.desk_.nowMs() + (write ? export_->writeDeadlineMs : export_->readDeadlineMs);
+    r.units = std::ceil(message.length / front_.config_.unitBytes);
+    r.shard = export_->shard;
+    r.hosts = export_->hosts;
+    const std::uint64_t cookie = message.cookie;
+    const auto job = std::make_shared<NbdJob>(front_, *this, r.id, *export_, std::move(message));
+    jobs_.insert(job.get());
+    if (front_.desk_.take(r, job)) return got;
+    jobs_.erase(job.get());
+    answer(cookie, Error::noMemory, refusalText(0), 0, "");
+    return got;
+}
+
+void Session::lost() {
+    if (std::exchange(gone_, true)) return;
+    for (NbdJob* job : std::exchange(jobs_, {})) {
+        job->disconnect();
+        front_.desk_.gone(RequestId(job->id()));
+    }
+    front_.remove(*this);
+}
+
+void Front::FreeListener::operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
+
+Front::Front(event_base* base, NbdConfig config, Desk& desk, Pool& pool, const Limits& limits,
+             BoundedLog& log)
+    : base_(base),
+      config_(std::move(config)),
+      desk_(desk),
+      pool_(pool),
+      limits_(limits),
+      log_(log),
+      empty_(base, [this] { waste_.clear(); }) {
+    const sockaddr_in address = config_.listen.socketAddress();
+    listener_.reset(evconnlistener_new_bind(base_, accepted, this,
+                                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+                                            -1, reinterpret_cast<const sockaddr*>(&address), sizeof address));
+    if (!listener_) throw std::runtime_error("nbd listen: cannot bind " + config_.listen.text());
+}
+Front::~Front() = default;
+
+void Front::accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
+    auto* self = static_cast<Front*>(arg);
+    if (self->sessions_.size() >= self->limits_.nbdClients) {
+        self->desk_.counters().add("nbd_client_turned_away");
+        ::close(fd);
+        return;
+    }
+    self->desk_.counters().add("nbd_client_connection");
+    auto session = std::make_unique<Session>(*self, fd);
+    Session* key = session.get();
+    self->sessions_.emplace(key, std::move(session));
+}
+
+void Front::close() {
+    if (std::exchange(closing_, true)) return;
+    listener_.reset();
+    std::vector<Session*> sessions;
+    for (const auto& [key, session] : sessions_) sessions.push_back(key);
+    for (Session* session : sessions) session->drain();
+}
+
+bool Front::quiet() const {
+    return std::all_of(sessions_.begin(), sessions_.end(),
+                       [](const auto& e) { return e.second->inHandshake(); });
+}
+
+void Front::remove(Session& session) {
+    const auto at = sessions_.find(&session);
+    if (at == sessions_.end()) return;
+    session.gone_ = true;
+    session.handshake_.stop();
+    bufferevent_disable(session.socket_.get(), EV_READ | EV_WRITE);
+    waste_.push_back(std::move(at->second));
+    sessions_.erase(at);
+    empty_.start(0);
+}
+
+}  // namespace martencove::nbd
--- /dev/null
+++ b/tests/program/http_test.cpp
@@ -0,0 +1,234 @@
+// The platform's front: the program between HTTP clients, nodes and discovery.
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+
+#include "world.h"
+
+using namespace martencove::test;
+
+namespace {
+
+/// A program with one node that holds shard 5.
+struct OneNode {
+    explicit OneNode(HttpNode::Answer answer = serve) : node(world.base.get(), std::move(answer)) {
+        world.config["known"]["hosts"].push_back(world.entry("s-1", node.listener.address, 5, "ready"));
+        world.start();
+    }
+    World world;
+    HttpNode node;
+};
+
+const auto silent = [](Wire&, const HttpText&) {};
+
+}  // namespace
+
+TEST_CASE("a read and a write pass on unchanged, and the node's answer comes back") {
+    OneNode t;
+    const HttpText read = t.world.ask(t.world.request("0000000000000001"));
+    CHECK(read.code() == 200);
+    CHECK(read.body == "made for 0000000000000001:");
+    CHECK(t.world.ask(t.world.request("0000000000000002", "", 5000, "new text")).body ==
+          "made for 0000000000000002:new text");
+    REQUIRE(t.node.requests.size() == 2);
+    CHECK(t.node.requests[0].line() == "GET /read/00000003b4d60021/7f3a9c21e0b4d655?x=1 HTTP/1.1");
+    CHECK(t.node.requests[1].header("Idempotency-Key") == "k");
+    CHECK(t.node.listener.wires.size() == 1);  // the connection is used again
+    CHECK(t.world.end() == 0);
+}
+
+// Guards against a request that is answered twice or not at all where the node says nothing: the deadline's
+// answer is the only one, and the attempt is called off by closing its connection.
+TEST_CASE("a silent node: one final answer by the deadline, and the attempt is cancelled") {
+    OneNode t(silent);
+    Wire& client = t.world.connect();
+    client.send(t.world.request("0000000000000001", "", 400));
+    std::optional<HttpText> answer;
+    REQUIRE(t.world.until([&] { return (answer = takeHttp(client.got)).has_value(); }));
+    CHECK(answer->code() == 503);
+    REQUIRE(t.world.until([&] { return t.node.listener.wires.front().closed; }));
+    CHECK(t.world.counter("answer_refused") == 1);
+    CHECK(client.got.empty());
+}
+
+// Guards against working on for a client that has gone: evhttp itself does not look while a request is open.
+TEST_CASE("a client that goes away takes its attempt with it") {
+    OneNode t(silent);
+    Wire& client = t.world.connect();
+    client.send(t.world.request("0000000000000001"));
+    REQUIRE(t.world.until([&] { return t.node.requests.size() == 1; }));
+    client.close();
+    REQUIRE(t.world.until([&] { return t.node.listener.wires.front().closed; }));
+    CHECK(t.world.counter("client_gone") == 1);
+    CHECK(t.world.counter("answer_failed") + t.world.counter("answer_refused") == 0);
+}
+
+TEST_CASE("a connection that breaks after the request: a read is tried again, once served") {
+    int broken = 0;
+    OneNode t([&](Wire& wire, const HttpText& request) {
+        if (broken++ == 0) return wire.close();
+        serve(wire, request);
+    });
+    CHECK(t.world.ask(t.world.request("0000000000000001")).code() == 200);
+    CHECK(t.node.requests.size() == 2);
+    CHECK(t.world.counter("attempt_broken") == 1);
+}
+
+TEST_CASE("a node that turns away, errs or is not there") {
+    int turn = 0;
+    OneNode t([&](Wire& wire, const HttpText& request) {
+        if (++turn == 1) return wire.send(httpReply(503, "", "Srv-Declined: 1\r\n"));
+        if (turn == 2) return wire.send(httpReply(500, ""));
+        serve(wire, request);
+    });
+    CHECK(t.world.ask(t.world.request("0000000000000001")).code() == 200);
+    CHECK(t.world.counter("attempt_turned_away") == 1);
+    CHECK(t.world.counter("attempt_error") == 1);
+    t.world.tell("s-1", freeAddress(), 5);
+    REQUIRE(t.world.until([&] { return t.world.counter("discovery_list") > 0; }));
+    // A node to which no connection comes up has run nothing: the answer says that a repeat is harmless.
+    const HttpText answer = t.world.ask(t.world.request("0000000000000002", "", 300));
+    CHECK(answer.code() == 503);
+    CHECK(t.world.counter("attempt_not_connected") > 0);
+}
+
+TEST_CASE("a draining node gets nothing new; the watch goes on") {
+    OneNode t;
+    const int watches = t.world.watches;
+    t.world.tell("s-1", t.node.listener.address, 5, "draining");
+    REQUIRE(t.world.until([&] { return t.world.watches > watches; }));
+    CHECK(t.world.ask(t.world.request("0000000000000001", "", 400)).code() == 503);
+    CHECK(t.node.requests.empty());
+}
+
+// Guards against acting on half a list: one bad entry makes all of it void.
+TEST_CASE("a bad list is ignored whole") {
+    OneNode t;
+    auto gone = t.world.entry("s-1", t.node.listener.address, 5, "gone");
+    auto bad = t.world.entry("s-2", t.node.listener.address, 5, "ready");
+    bad["dial"] = "nowhere";
+    t.world.tellRaw(Json{{"seq", 9}, {"whole", false}, {"hosts", {gone, bad}}}.dump());
+    REQUIRE(t.world.until([&] { return t.world.counter("discovery_bad") == 1; }));
+    t.world.tellRaw("{\"seq\":");
+    REQUIRE(t.world.until([&] { return t.world.counter("discovery_bad") == 2; }));
+    CHECK(t.world.ask(t.world.request("0000000000000001")).code() == 200);
+}
+
+TEST_CASE("hostile clients get a defined answer and leave the program standing") {
+    OneNode t;
+    const std::string good = t.world.request("0000000000000001");
+    const auto with = [&](const std::string& from, const std::string& to) {
+        std::string text = good;
+        return text.replace(text.find(from), from.size(), to);
+    };
+    for (const std::string& bad :
+         {with("GET /read", "GET /what"), with("00000003b4d60021", "xyz"), with("Tier: basic", "Tier: gold"),
+          with("Ms: 5000", "Ms: soon"), with("units=2", "units=-2"), with("shard=5", "shard"),
+          with("Req-Id: ", "No-Id: "), with("/7f3a9c21e0b4d655?x=1", ""), with("GET", "DELETE")})
+        CHECK(t.world.ask(bad).code() == 400);
+    CHECK(t.world.ask("PUT /write/1/2 HTTP/1.1\r\nHost: b\r\nContent-Length: 70000\r\n\r\n").code() / 100 ==
+          4);
+    CHECK(t.world.ask("GET /" + std::string(20000, 'a') + " HTTP/1.1\r\n\r\n").code() / 100 != 2);
+    Wire& garbage = t.world.connect();
+    garbage.send(std::string("\0\xff\x80 garbage\r\n\r\n", 15));
+    REQUIRE(t.world.until([&] { return garbage.closed || !garbage.got.empty(); }));
+    CHECK(t.node.requests.empty());
+    CHECK(t.world.ask(good).code() == 200);
+    CHECK(t.world.counter("request_malformed") >= 9);
+}
+
+// Guards against evhttp's reading on while a request is in work: the second one must wait for its turn.
+TEST_CASE("two requests sent at once on one connection are answered in turn") {
+    OneNode t;
+    Wire& client = t.world.connect();
+    client.send(t.world.request("0000000000000001") + t.world.request("0000000000000002"));
+    std::vector<std::string> bodies;
+    REQUIRE(t.world.until([&] {
+        if (const auto answer = takeHttp(client.got)) bodies.push_back(answer->body);
+        return bodies.size() == 2;
+    }));
+    CHECK(bodies == std::vector<std::string>{"made for 0000000000000001:", "made for 0000000000000002:"});
+}
+
+TEST_CASE("an id that is open already is not taken twice") {
+    OneNode t(silent);
+    t.world.connect().send(t.world.request("0000000000000001"));
+    REQUIRE(t.world.until([&] { return t.node.requests.size() == 1; }));
+    CHECK(t.world.ask(t.world.request("0000000000000001")).code() == 503);
+    CHECK(t.node.requests.size() == 1);
+}
+
+TEST_CASE("SIGTERM: new connections are still served, what was taken is finished, then it ends with 0") {
+    Wire* held = nullptr;
+    OneNode t([&](Wire& wire, const HttpText& request) {
+        if (held == nullptr) {
+            held = &wire;
+        } else {
+            serve(wire, request);
+        }
+    });
+    Wire& before = t.world.connect();
+    before.send(t.world.request("0000000000000001"));
+    REQUIRE(t.world.until([&] { return held != nullptr; }));
+    t.world.signal(SIGTERM);
+    REQUIRE(t.world.until([&] { return t.world.log.find("ending: 1 requests open") != std::string::npos; }));
+    const HttpText during = t.world.ask(t.world.request("0000000000000002"));
+    CHECK(during.code() == 200);
+    CHECK(during.header("Connection") == "close");
+    // Only once the listener is closed is the first one answered.
+    REQUIRE(t.world.until([&] {
+        Wire probe(t.world.base.get(), t.world.listen);
+        return t.world.until([&] { return probe.closed; }, 50);
+    }));
+    held->send(httpReply(200, "late"));
+    std::optional<HttpText> answer;
+    REQUIRE(t.world.until([&] { return (answer = takeHttp(before.got)).has_value(); }));
+    CHECK(answer->body == "late");
+    CHECK(t.world.end() == 0);
+    CHECK(t.world.log.find("ended: 0 requests open") != std::string::npos);
+}
+
+// Guards against idle clients that lock others out at the bound on descriptors.
+TEST_CASE("at the bound idle connections make room for new ones") {
+    World world;
+    world.config["limits"]["sockets"] = 80;
+    world.start();
+    for (int i = 0; i < 100; ++i) world.connect().send("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n");
+    CHECK(world.ask("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n").code() == 200);
+    CHECK(world.running());
+}
+
+TEST_CASE("datagrams from strangers or too long are counted and passed over") {
+    OneNode t;
+    const int fd = socket(AF_INET, SOCK_DGRAM, 0);
+    const sockaddr_in to = t.world.peerListen.socketAddress();
+    for (const std::size_t size : {std::size_t{3}, std::size_t{300}}) {
+        const std::string text(size, 'x');
+        sendto(fd, text.data(), text.size(), 0, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+    }
+    evutil_closesocket(fd);
+    REQUIRE(t.world.until([&] { return t.world.counter("peer_bad") == 2; }));
+    CHECK(t.world.ask(t.world.request("0000000000000001")).code() == 200);
+}
+
+TEST_CASE("a bad value in the configuration: one line that names the field, and no start") {
+    const World world;
+    const auto refused = [&](const std::string& field, const std::function<void(Json&)>& spoil) {
+        Json config = world.config;
+        spoil(config);
+        const auto [code, text] = runOnce(config);
+        CHECK(code == 1);
+        CHECK_MESSAGE(text.starts_with("martencove: " + field), text);
+        CHECK(std::count(text.begin(), text.end(), '\n') == 1);
+    };
+    refused("listen", [](Json& c) { c["listen"] = "here"; });
+    refused("seed", [](Json& c) { c["seed"] = "xyz"; });
+    refused("settings: missing", [](Json& c) { c.erase("settings"); });
+    refused("DeadlineMs", [](Json& c) { c["settings"]["Classes"][0].erase("DeadlineMs"); });
+    refused("settings: classes.aimMs", [](Json& c) { c["settings"]["Classes"][0]["AimMs"] = -1; });
+    refused("sockets", [](Json& c) { c["limits"]["sockets"] = 3; });
+    refused("known", [](Json& c) { c["known"] = 5; });
+    refused("peers", [](Json& c) { c["peers"] = {"x"}; });
+    refused("NODE_CONFIG", [](Json& c) { c = "text"; });
+}
--- /dev/null
+++ b/tests/program/nbd_test.cpp
@@ -0,0 +1,383 @@
+// The NBD front: the program between NBD clients and stand-in nodes that speak NBD.
+#include <doctest/doctest.h>
+
+#include "nbd/codec.h"
+#include "world.h"
+
+using namespace martencove::test;
+using namespace martencove::nbd;
+
+namespace {
+
+constexpr std::size_t kMost = 1 << 20;
+constexpr std::uint64_t kSize = 1 << 20;
+
+/// Takes one message off the front of what has come.
+template <typename Message, typename... More>
+bool takeFrom(std::string& text, Message& out, More... more) {
+    std::string_view in = text;
+    const bool whole = take(in, out, more...) == Got::whole;
+    text.erase(0, text.size() - in.size());
+    return whole;
+}
+
+/// A stand-in node: fixed newstyle and structured replies; `serve` gets each command.
+struct NbdNode {
+    using Serve = std::function<void(Wire&, const CommandMessage&)>;
+    NbdNode(event_base* base, Serve s)
+        : serve(std::move(s)), listener(base, [this](Wire& wire) { read(wire); }) {}
+
+    void read(Wire& wire) {
+        if (!greeted.contains(&wire)) return;
+        if (!flagged.contains(&wire)) {
+            if (wire.got.size() < 4) return;
+            wire.got.erase(0, 4);
+            flagged.insert(&wire);
+        }
+        OptionMessage option;
+        while (!ready.contains(&wire) && takeFrom(wire.got, option, kMost)) {
+            if (option.option == Option::go && draining) {
+                --draining;
+                wire.send(encode(OptionAnswer{Option::go, OptionReply::shutdown, ""}));
+                continue;
+            }
+            if (option.option == Option::go) {
+                wire.send(
+                    encode(OptionAnswer{Option::go, OptionReply::info, encodeExport({kSize, kHasFlags})}));
+                ready.insert(&wire);
+            }
+            wire.send(encode(OptionAnswer{option.option, OptionReply::ack, ""}));
+        }
+        CommandMessage command;
+        while (ready.contains(&wire) && takeFrom(wire.got, command, kMost)) {
+            commands.push_back(command);
+            serve(wire, command);
+        }
+    }
+    /// The server speaks first.
+    void greet() {
+        for (Wire& wire : listener.wires) {
+            if (!greeted.insert(&wire).second) continue;
+            wire.send(encode(Greeting{kFixedNewstyle | kNoZeroes}));
+        }
+    }
+
+    Serve serve;
+    int draining = 0;  ///< so many handshakes are told of the shutdown
+    std::vector<CommandMessage> commands;
+    std::set<Wire*> greeted, flagged, ready;
+    Listener listener;
+};
+
+void chunk(Wire& wire, const CommandMessage& c, Chunk type, const std::string& payload, bool done = false) {
+    wire.send(encode(ChunkMessage{done ? kDone : std::uint16_t{0}, type, c.cookie, payload}));
+}
+std::string pattern(std::uint64_t offset, std::size_t length) {
+    std::string out(length, '\0');
+    for (std::size_t i = 0; i < length; ++i) out[i] = static_cast<char>('a' + (offset + i) % 23);
+    return out;
+}
+/// A read in three chunks out of order, one a hole; a write at once.
+void inChunks(Wire& wire, const CommandMessage& c) {
+    if (c.command == Command::write) return chunk(wire, c, Chunk::none, "", true);
+    const std::uint32_t third = c.length / 3;
+    chunk(wire, c, Chunk::data,
+          encodeData(c.offset + 2 * third, pattern(c.offset + 2 * third, c.length - 2 * third)));
+    chunk(wire, c, Chunk::hole, encodeHole(c.offset + third, third));
+    chunk(wire, c, Chunk::data, encodeData(c.offset, pattern(c.offset, third)), true);
+}
+
+/// A program with one node that speaks NBD, for shard 5, and one export there.
+struct Site {
+    explicit Site(NbdNode::Serve serve = inChunks) : node(world.base.get(), std::move(serve)) {
+        world.config["known"]["hosts"].push_back(world.entry("s-1", node.listener.address, 5, "ready"));
+        const Json disk{
+            {"name", "disk"}, {"bytes", kSize},       {"volume", "v"},          {"plan", "basic"},
+            {"shard", 5},     {"read_class", "read"}, {"write_class", "write"}, {"read_deadline_ms", 3000}};
+        Json capped = disk, nowhere = disk;
+        capped.update({{"name", "capped"}, {"plan", "capped"}, {"volume", "w"}, {"read_only", true}});
+        nowhere.update({{"name", "nowhere"}, {"shard", 9}, {"read_deadline_ms", 400}});
+        world.nbd = {{"listen", world.nbdListen.text()},
+                     {"unit_bytes", 512},
+                     {"exports", {disk, capped, nowhere}},
+                     {"nodes", {{"s-1", node.listener.address.text()}}}};
+        world.start();
+    }
+    bool until(const std::function<bool()>& holds) {
+        return world.until([&] {
+            node.greet();
+            return holds();
+        });
+    }
+    /// A client after its greeting.
+    Wire& client() {
+        Wire& wire = world.connect(world.nbdListen);
+        Greeting greeting;
+        REQUIRE(until([&] { return takeFrom(wire.got, greeting); }));
+        wire.send(encodeClientFlags(kFixedNewstyle | kNoZeroes));
+        return wire;
+    }
+    OptionAnswer option(Wire& wire, Option option, const std::string& data = "") {
+        wire.send(encode(OptionMessage{option, data}));
+        return next(wire);
+    }
+    OptionAnswer next(Wire& wire) {
+        OptionAnswer answer;
+        REQUIRE(until([&] { return takeFrom(wire.got, answer, kMost); }));
+        return answer;
+    }
+    /// A client that may send commands.
+    Wire& ready(const std::string& name = "disk", bool structured = true) {
+        Wire& wire = client();
+        if (structured) CHECK(option(wire, Option::structuredReply).reply == OptionReply::ack);
+        OptionAnswer answer = option(wire, Option::go, encode(InfoRequest{name, {}}));
+        while (answer.reply == OptionReply::info) answer = next(wire);
+        CHECK(answer.reply == OptionReply::ack);
+        return wire;
+    }
+    ChunkMessage reply(Wire& wire) {
+        ChunkMessage out;
+        REQUIRE(until([&] { return takeFrom(wire.got, out, kMost); }));
+        CHECK(out.flags == kDone);
+        return out;
+    }
+    ChunkMessage ask(Wire& wire, const CommandMessage& command) {
+        wire.send(encode(command));
+        const ChunkMessage out = reply(wire);
+        CHECK(out.cookie == command.cookie);
+        return out;
+    }
+    World world;
+    NbdNode node;
+};
+
+CommandMessage readOf(std::uint64_t cookie, std::uint64_t offset, std::uint32_t length) {
+    return {0, Command::read, cookie, offset, length, ""};
+}
+CommandMessage writeOf(std::uint64_t cookie, std::uint64_t offset, const std::string& data) {
+    return {0, Command::write, cookie, offset, static_cast<std::uint32_t>(data.size()), data};
+}
+
+}  // namespace
+
+// Guards against a codec that only agrees with itself: bytes as the specification has them.
+TEST_CASE("the codec's bytes are the specification's") {
+    using namespace std::string_literals;
+    CHECK(encode(Greeting{3}) == "NBDMAGICIHAVEOPT\0\3"s);
+    CHECK(encode(OptionMessage{Option::go, "x"}) == "IHAVEOPT\0\0\0\7\0\0\0\1x"s);
+    CHECK(encode(OptionAnswer{Option::list, OptionReply::unknown, ""}) ==
+          "\0\3\xe8\x89\x04\x55\x65\xa9\0\0\0\3\x80\0\0\6\0\0\0\0"s);
+    CHECK(encode(readOf(7, 512, 16)) ==
+          "\x25\x60\x95\x13\0\0\0\0\0\0\0\0\0\0\0\7\0\0\0\0\0\0\2\0\0\0\0\x10"s);
+    CHECK(encode(SimpleReply{Error::io, 7}) == "\x67\x44\x66\x98\0\0\0\5\0\0\0\0\0\0\0\7"s);
+    CHECK(encode(ChunkMessage{kDone, Chunk::error, 7, encodeError({Error::noMemory, "no"})}) ==
+          "\x66\x8e\x33\xef\0\1\x80\1\0\0\0\0\0\0\0\7\0\0\0\x8\0\0\0\xc\0\2no"s);
+}
+
+TEST_CASE("chunks are put together once, in any order, and nothing else") {
+    const auto data = [](std::uint64_t at, const std::string& text) {
+        return ChunkMessage{0, Chunk::data, 1, encodeData(at, text)};
+    };
+    Assembly good(100, 6, 9);
+    CHECK(good.add(data(103, "def")));
+    CHECK(!good.whole());
+    CHECK(good.add(data(100, "abc")));
+    CHECK(good.whole());
+    CHECK(good.data() == "abcdef");
+    CHECK(!good.add(data(100, "a")));                                            // twice
+    CHECK(!Assembly(100, 6, 9).add(data(99, "ab")));                             // before
+    CHECK(!Assembly(100, 6, 9).add(data(104, "abc")));                           // beyond
+    CHECK(!Assembly(100, 6, 9).add({0, Chunk::hole, 1, encodeHole(~0ull, 2)}));  // far beyond
+    CHECK(!Assembly(100, 6, 0).add(data(100, "a")));                             // one too many
+    CHECK(!Assembly(100, 6, 9).add({0, static_cast<Chunk>(77), 1, ""}));
+}
+
+TEST_CASE("handshake: LIST, INFO, unknown names and options, ABORT, EXPORT_NAME") {
+    Site t;
+    Wire& wire = t.client();
+    CHECK(t.option(wire, Option::list).data == encodeListed("disk"));
+    CHECK(t.next(wire).data == encodeListed("capped"));
+    CHECK(t.next(wire).data == encodeListed("nowhere"));
+    CHECK(t.next(wire).reply == OptionReply::ack);
+    CHECK(t.option(wire, Option::info, encode(InfoRequest{"none", {}})).reply == OptionReply::unknown);
+    CHECK(t.option(wire, Option::go, "short").reply == OptionReply::invalid);
+    CHECK(t.option(wire, static_cast<Option>(5)).reply == OptionReply::unsupported);
+    const OptionAnswer info = t.option(wire, Option::info, encode(InfoRequest{"capped", {}}));
+    REQUIRE(decodeExport(info.data));
+    CHECK(decodeExport(info.data)->size == kSize);
+    CHECK((decodeExport(info.data)->flags & kReadOnly) != 0);
+    CHECK(t.next(wire).reply == OptionReply::info);  // block sizes
+    CHECK(t.next(wire).reply == OptionReply::ack);
+    CHECK(t.option(wire, Option::abort).reply == OptionReply::ack);
+    REQUIRE(t.until([&] { return wire.closed; }));
+
+    Wire& old = t.client();
+    old.send(encode(OptionMessage{Option::exportName, "disk"}) + encode(readOf(1, 0, 512)));
+    const std::size_t size = encodeOldExport({}, false).size() + encode(SimpleReply{}).size() + 512;
+    REQUIRE(t.until([&] { return old.got.size() == size; }));  // no structured replies were agreed on
+}
+
+TEST_CASE("a read in many chunks is answered by one; a write passes on; simple replies without the option") {
+    Site t;
+    Wire& wire = t.ready();
+    const ChunkMessage read = t.ask(wire, readOf(7, 1024, 3000));
+    REQUIRE(read.type == Chunk::data);
+    std::string expected = pattern(1024, 3000);
+    expected.replace(1000, 1000, 1000, '\0');
+    CHECK(read.payload == encodeData(1024, expected));
+    CHECK(t.ask(wire, writeOf(8, 0, "text")).type == Chunk::none);
+    CHECK(t.node.commands.back().data == "text");
+    CHECK(t.node.listener.wires.size() == 1);
+
+    Wire& simple = t.ready("disk", false);
+    simple.send(encode(readOf(9, 0, 3)));
+    REQUIRE(t.until([&] { return simple.got.size() == 16 + 3; }));
+    CHECK(simple.got == encode(SimpleReply{Error::none, 9}) + std::string("a\0c", 3));
+}
+
+TEST_CASE("a refusal says when to come back; a node without the shard is one") {
+    Site t;
+    Wire& wire = t.ready("nowhere");
+    const ChunkMessage refused = t.ask(wire, readOf(1, 0, 512));
+    REQUIRE(refused.type == Chunk::error);
+    CHECK(decodeError(refused.payload)->text == "refused, never ran: come back in 1.000 s");
+    CHECK(t.node.commands.empty());
+}
+
+// The plan's limit holds on this front as on the other: 4 units at once, 20 a second; 8 commands of 2 units
+// take over half a second of it.
+TEST_CASE("a plan's limit holds for NBD, and what it does not cover in time is refused") {
+    Site t;
+    Wire& wire = t.ready("capped");
+    for (std::uint64_t i = 0; i < 40; ++i) wire.send(encode(readOf(i, 0, 1024)));
+    int refused = 0;
+    for (int i = 0; i < 40; ++i) refused += t.reply(wire).type == Chunk::error;
+    CHECK(refused > 0);
+    CHECK(t.node.commands.size() + refused == 40);
+}
+
+// NBD has no key by which a node could drop a repeat.
+TEST_CASE("a write that may have run is not sent again; a read is") {
+    bool broken = false;
+    Site t([&](Wire& wire, const CommandMessage& c) {
+        if (!std::exchange(broken, true)) return wire.close();
+        inChunks(wire, c);
+    });
+    Wire& wire = t.ready();
+    const ChunkMessage failed = t.ask(wire, writeOf(1, 0, "text"));
+    REQUIRE(failed.type == Chunk::error);
+    CHECK(decodeError(failed.payload)->error == Error::io);
+    CHECK(t.node.commands.size() == 1);
+    broken = false;
+    CHECK(t.ask(wire, readOf(2, 0, 512)).type == Chunk::data);
+    CHECK(t.node.commands.size() == 3);
+}
+
+TEST_CASE("a node's error chunk, and one that answers out of place") {
+    int turn = 0;
+    Site t([&](Wire& wire, const CommandMessage& c) {
+        if (++turn == 1) return chunk(wire, c, Chunk::error, encodeError({Error::io, "disk"}), true);
+        if (turn == 2) return chunk(wire, c, Chunk::data, encodeData(c.offset + c.length, "x"), true);
+        inChunks(wire, c);
+    });
+    CHECK(t.ask(t.ready(), readOf(1, 0, 512)).type == Chunk::data);
+    CHECK(t.world.counter("attempt_error") == 1);
+    CHECK(t.world.counter("nbd_node_bad") == 1);
+}
+
+// Hard case: a reply of many chunks when the client gives up halfway.
+TEST_CASE("a client that leaves mid-reply: its attempt is called off and nothing is answered twice") {
+    Wire* half = nullptr;
+    Site t([&](Wire& wire, const CommandMessage& c) {
+        if (half != nullptr) return inChunks(wire, c);
+        half = &wire;
+        chunk(wire, c, Chunk::data, encodeData(c.offset, pattern(c.offset, 512)));
+    });
+    Wire& wire = t.ready();
+    wire.send(encode(readOf(1, 0, 4096)));
+    REQUIRE(t.until([&] { return half != nullptr; }));
+    wire.close();
+    REQUIRE(t.until([&] { return half->closed; }));
+    CHECK(t.ask(t.ready(), readOf(2, 0, 512)).type == Chunk::data);
+    CHECK(t.world.counter("request_taken") == 2);
+    CHECK(t.world.counter("client_gone") == 1);
+    CHECK(t.world.counter("answer_served") == 1);
+    CHECK(t.world.counter("answer_failed") + t.world.counter("answer_refused") == 0);
+}
+
+// Hard case: a server that drains during a handshake. Nothing has run: even a write goes out again.
+TEST_CASE("a node that drains during the handshake never ran the command") {
+    Site t;
+    t.node.draining = 1;
+    CHECK(t.ask(t.ready(), writeOf(1, 0, "text")).type == Chunk::none);
+    CHECK(t.node.commands.size() == 1);
+    CHECK(t.world.counter("attempt_turned_away") == 1);
+}
+
+TEST_CASE("the program drains: handshakes are told, commands in work are finished, exit 0") {
+    Wire* held = nullptr;
+    CommandMessage command;
+    Site t([&](Wire& wire, const CommandMessage& c) {
+        held = &wire;
+        command = c;
+    });
+    Wire& wire = t.ready();
+    Wire& shaking = t.client();
+    wire.send(encode(readOf(1, 0, 512)));
+    REQUIRE(t.until([&] { return held != nullptr; }));
+    t.world.signal(SIGTERM);
+    REQUIRE(t.until([&] {  // until the listener is closed
+        Wire probe(t.world.base.get(), t.world.nbdListen);
+        return t.world.until([&] { return probe.closed && probe.got.empty(); }, 50);
+    }));
+    CHECK(t.option(shaking, Option::go, encode(InfoRequest{"disk", {}})).reply == OptionReply::shutdown);
+    inChunks(*held, command);
+    CHECK(t.reply(wire).type == Chunk::data);
+    CHECK(t.world.end() == 0);
+}
+
+TEST_CASE("hostile clients: a defined answer or close, and the program stands") {
+    Site t;
+    const auto closes = [&](const std::string& bytes) {
+        Wire& wire = t.client();
+        wire.send(bytes);
+        CHECK(t.until([&] { return wire.closed; }));
+    };
+    closes("garbage garbage garbage");
+    closes("IHAVEOPT\1\1\1\1\xff\xff\xff\xff");
+    closes(encode(OptionMessage{Option::exportName, "none"}));
+    Wire& flags = t.world.connect(t.world.nbdListen);
+    flags.send("\xff\xff\xff\xff");
+    CHECK(t.until([&] { return flags.closed; }));
+
+    Wire& wire = t.ready();
+    const auto errorOf = [&](const CommandMessage& c) { return decodeError(t.ask(wire, c).payload)->error; };
+    CHECK(errorOf(readOf(1, kSize - 1, 2)) == Error::invalid);
+    CHECK(errorOf(readOf(2, ~0ull, 2)) == Error::invalid);
+    CHECK(errorOf(readOf(3, 0, 0)) == Error::invalid);
+    CHECK(errorOf(readOf(4, 0, 0xffffffff)) == Error::invalid);
+    CHECK(errorOf(writeOf(5, kSize - 1, "xx")) == Error::noSpace);
+    CHECK(errorOf({1, Command::read, 6, 0, 1, ""}) == Error::invalid);
+    CHECK(errorOf({0, static_cast<Command>(3), 7, 0, 0, ""}) == Error::invalid);
+    CHECK(errorOf(writeOf(8, 0, std::string(70000, 'x'))) == Error::invalid);
+    CHECK(t.until([&] { return wire.closed; }));
+    CHECK(t.node.commands.empty());
+    CHECK(t.ask(t.ready(), readOf(1, 0, 512)).type == Chunk::data);
+}
+
+TEST_CASE("a bad value in the operator's file: one line that names the field, and no start") {
+    Site t;
+    const auto refused = [&](const std::string& field, const std::function<void(Json&)>& spoil) {
+        Json nbd = t.world.nbd;
+        spoil(nbd);
+        const auto [code, text] = runOnce(t.world.config, nbd);
+        CHECK(code == 1);
+        CHECK_MESSAGE(text.starts_with("martencove: nbd file: " + field), text);
+    };
+    refused("listen", [](Json& n) { n["listen"] = "x"; });
+    refused("unit_bytes", [](Json& n) { n["unit_bytes"] = 0; });
+    refused("read_class", [](Json& n) { n["exports"][0]["read_class"] = "x"; });
+    refused("plan", [](Json& n) { n["exports"][0]["plan"] = "x"; });
+    refused("name", [](Json& n) { n["exports"][1]["name"] = "disk"; });
+    refused("nodes", [](Json& n) { n["nodes"]["s-1"] = "x"; });
+}
--- /dev/null
+++ b/tests/program/world.cpp
@@ -0,0 +1,298 @@
+#include "world.h"
+
+#include <arpa/inet.h>
+#include <event2/listener.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+namespace martencove::test {
+namespace {
+
+Address addressOf(evutil_socket_t fd) {
+    sockaddr_in in{};
+    socklen_t size = sizeof in;
+    getsockname(fd, reinterpret_cast<sockaddr*>(&in), &size);
+    char text[INET_ADDRSTRLEN];
+    return {inet_ntop(AF_INET, &in.sin_addr, text, sizeof text), ntohs(in.sin_port)};
+}
+
+std::string contents(const std::string& path) {
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+pid_t spawn(const std::string& folder, const Json& config, const Json& nbd) {
+    std::ofstream(folder + "/config.json") << config;
+    std::ofstream(folder + "/nbd.json") << nbd;
+    const pid_t pid = fork();
+    if (pid != 0) return pid;
+    const int out = open((folder + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    dup2(out, 1);
+    dup2(out, 2);
+    setenv("NODE_CONFIG", (folder + "/config.json").c_str(), 1);
+    const std::string file = folder + "/nbd.json";
+    nbd.is_null() ? execl(MARTENCOVE_PROGRAM, "martencove", nullptr)
+                  : execl(MARTENCOVE_PROGRAM, "martencove", "--nbd", file.c_str(), nullptr);
+    _exit(127);
+}
+
+std::string newFolder() {
+    std::string name = std::filesystem::temp_directory_path() / "martencove-XXXXXX";
+    if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the test");
+    return name;
+}
+
+}  // namespace
+
+Wire::Wire(event_base* base, const Address& to)
+    : socket_(bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE)) {
+    const sockaddr_in in = to.socketAddress();
+    bufferevent_socket_connect(socket_.get(), reinterpret_cast<const sockaddr*>(&in), sizeof in);
+    watch();
+}
+Wire::Wire(event_base* base, evutil_socket_t fd)
+    : socket_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)) {
+    watch();
+}
+void Wire::watch() {
+    bufferevent_setcb(
+        socket_.get(),
+        [](bufferevent* b, void* arg) {
+            auto* self = static_cast<Wire*>(arg);
+            evbuffer* input = bufferevent_get_input(b);
+            std::string more(evbuffer_get_length(input), '\0');
+            evbuffer_remove(input, more.data(), more.size());
+            self->got += more;
+            if (self->onData) self->onData(*self);
+        },
+        nullptr,
+        [](bufferevent*, short what, void* arg) {
+            if ((what & BEV_EVENT_CONNECTED) == 0) static_cast<Wire*>(arg)->closed = true;
+        },
+        this);
+    bufferevent_enable(socket_.get(), EV_READ | EV_WRITE);
+}
+void Wire::send(const std::string& bytes) {
+    if (socket_) bufferevent_write(socket_.get(), bytes.data(), bytes.size());
+}
+
+Listener::Listener(event_base* base, std::function<void(Wire&)> onData)
+    : base_(base), onData_(std::move(onData)) {
+    const sockaddr_in any = Address{"127.0.0.1", 0}.socketAddress();
+    listener_ = evconnlistener_new_bind(base, accepted, this, LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC,
+                                        -1, reinterpret_cast<const sockaddr*>(&any), sizeof any);
+    address = addressOf(evconnlistener_get_fd(listener_));
+}
+Listener::~Listener() { evconnlistener_free(listener_); }
+void Listener::accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
+    auto* self = static_cast<Listener*>(arg);
+    self->wires.emplace_back(self->base_, fd).onData = self->onData_;
+}
+
+std::string HttpText::header(const std::string& name) const {
+    const std::size_t at = head.find("\r\n" + name + ": ");
+    if (at == head.npos) return "";
+    const std::size_t from = at + name.size() + 4;
+    return head.substr(from, head.find("\r\n", from) - from);
+}
+std::optional<HttpText> takeHttp(std::string& text) {
+    const std::size_t end = text.find("\r\n\r\n");
+    if (end == text.npos) return std::nullopt;
+    HttpText out{text.substr(0, end + 2), ""};
+    const std::string length = out.header("Content-Length");
+    const std::size_t size = length.empty() ? 0 : std::stoul(length);
+    if (text.size() < end + 4 + size) return std::nullopt;
+    out.body = text.substr(end + 4, size);
+    text.erase(0, end + 4 + size);
+    return out;
+}
+std::string httpReply(int code, const std::string& body, const std::string& headers) {
+    return "HTTP/1.1 " + std::to_string(code) + " X\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n" + headers + "\r\n" + body;
+}
+HttpNode::HttpNode(event_base* base, Answer a)
+    : answer(std::move(a)), listener(base, [this](Wire& wire) {
+          while (const auto request = takeHttp(wire.got)) {
+              requests.push_back(*request);
+              answer(wire, *request);
+          }
+      }) {}
+void serve(Wire& wire, const HttpText& request) {
+    wire.send(httpReply(200, "made for " + request.header("Req-Id") + ":" + request.body));
+}
+
+Address freeAddress() {
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const sockaddr_in any = Address{"127.0.0.1", 0}.socketAddress();
+    bind(fd, reinterpret_cast<const sockaddr*>(&any), sizeof any);
+    const Address out = addressOf(fd);
+    close(fd);
+    return out;
+}
+
+World::World()
+    : listen(freeAddress()),
+      nbdListen(freeAddress()),
+      peerListen(freeAddress()),
+      discovery_(base.get(),
+                 [this](Wire& wire) {
+                     while (takeHttp(wire.got)) {
+                         ++watches;
+                         waiting_.push_back(&wire);
+                     }
+                     answerWatches();
+                 }),
+      folder_(newFolder()) {
+    const Json classes = Json::array({{{"Name", "read"},
+                                       {"AimMs", 300},
+                                       {"DeadlineMs", 5000},
+                                       {"Idempotency", "retryable"},
+                                       {"Points", 3}},
+                                      {{"Name", "write"},
+                                       {"AimMs", 600},
+                                       {"DeadlineMs", 5000},
+                                       {"Idempotency", "dedup"},
+                                       {"Group", "cell"},
+                                       {"DedupWindowMs", 4000},
+                                       {"Points", 2}}});
+    const Json plans = Json::array({{{"Name", "basic"}, {"Rate", 50}, {"Reserve", 20}},
+                                    {{"Name", "capped"}, {"Rate", 50}, {"Cap", 20}, {"CapDepth", 4}}});
+    config = {{"name", "n0"},
+              {"listen", listen.text()},
+              {"discovery", discovery_.address.text()},
+              {"seed", "8c1f30d27a5be964"},
+              {"limits", {{"cores", 1.0}, {"memory_mb", 192}, {"sockets", 1024}}},
+              {"peer_listen", peerListen.text()},
+              {"peers", {peerListen.text()}},
+              {"known", {{"seq", 0}, {"whole", true}, {"hosts", Json::array()}}},
+              {"settings",
+               {{"Classes", classes},
+                {"ServiceLevels", plans},
+                {"Siblings", 1},
+                {"GranularityMs", 2},
+                {"Rules", {{"DrainGraceMs", 1000}, {"AnswerSlackMs", 8}}},
+                {"FamilyInfo", {{"MeanUnits", 2}, {"MaxUnits", 8}}},
+                {"Limits",
+                 {{"SendCap", 3},
+                  {"MayCancel", true},
+                  {"PeerMessages", true},
+                  {"RetryAfter", true},
+                  {"MaxRetryAfterMs", 1000},
+                  {"MaxOpen", 1000},
+                  {"DialTimeoutMs", 250},
+                  {"ConnIdleMs", 15000}}}}}};
+}
+
+World::~World() {
+    if (running()) {
+        kill(pid_, SIGKILL);
+        waitpid(pid_, nullptr, 0);
+    }
+    std::filesystem::remove_all(folder_);
+}
+
+void World::start() {
+    pid_ = spawn(folder_, config, nbd);
+    std::unique_ptr<Wire> health;
+    const bool up = until([&] {
+        if (!health || health->closed) {
+            health = std::make_unique<Wire>(base.get(), listen);
+            health->send("GET /healthz HTTP/1.1\r\nHost: x\r\n\r\n");
+        }
+        return health->got.starts_with("HTTP/1.1 200") || !running();
+    });
+    if (!up || !running())
+        throw std::runtime_error("the program does not start: " + contents(folder_ + "/log"));
+}
+
+bool World::until(const std::function<bool()>& holds, double mostMs) {
+    const auto start = std::chrono::steady_clock::now();
+    while (!holds()) {
+        if (std::chrono::steady_clock::now() - start > std::chrono::duration<double, std::milli>(mostMs))
+            return false;
+        const timeval turn = timevalOf(5);
+        event_base_loopexit(base.get(), &turn);
+        event_base_loop(base.get(), EVLOOP_ONCE);
+        readLog();
+    }
+    return true;
+}
+
+bool World::running() {
+    if (pid_ > 0 && waitpid(pid_, &exit_, WNOHANG) == pid_) pid_ = 0;
+    return pid_ > 0;
+}
+
+int World::end(int number) {
+    if (running()) kill(pid_, number);
+    if (!until([this] { return !running(); })) return -1;
+    return WIFEXITED(exit_) ? WEXITSTATUS(exit_) : 128 + WTERMSIG(exit_);
+}
+
+void World::readLog() { log = contents(folder_ + "/log"); }
+
+Json World::entry(const std::string& name, const Address& dial, int shard, const std::string& health) const {
+    return {{"host", name},   {"dial", dial.text()}, {"site", "a"},  {"class", "m"},
+            {"block", shard}, {"health", health},    {"share", 1.0}, {"born_ms", 0}};
+}
+void World::tell(const std::string& name, const Address& dial, int shard, const std::string& health) {
+    changes_.push_back(entry(name, dial, shard, health));
+    answerWatches();
+}
+void World::tellRaw(const std::string& body) {
+    raw_ = body;
+    answerWatches();
+}
+void World::answerWatches() {
+    if (waiting_.empty() || (changes_.empty() && raw_.empty())) return;
+    const Json list{{"seq", ++seq_}, {"whole", false}, {"hosts", changes_}};
+    for (Wire* wire : waiting_) wire->send(httpReply(200, raw_.empty() ? list.dump() : raw_));
+    raw_.empty() ? changes_.clear() : raw_.clear();
+    waiting_.clear();
+}
+
+Wire& World::connect() { return connect(listen); }
+Wire& World::connect(const Address& to) { return clients_.emplace_back(base.get(), to); }
+HttpText World::ask(const std::string& text) {
+    Wire wire(base.get(), listen);
+    wire.send(text);
+    std::optional<HttpText> answer;
+    (void)until([&] { return (answer = takeHttp(wire.got)) || wire.closed; });
+    return answer.value_or(HttpText{"HTTP/1.1 000 closed\r\n", ""});
+}
+std::string World::request(const std::string& id, const std::string& more, int deadlineMs,
+                           const std::string& body) {
+    return std::string(body.empty() ? "GET /read" : "PUT /write") +
+           "/00000003b4d60021/7f3a9c21e0b4d655?x=1 HTTP/1.1\r\nHost: b\r\nReq-Id: " + id +
+           "\r\nTier: basic\r\nReq-Deadline-Ms: " + std::to_string(deadlineMs) +
+           "\r\nIO-Info: units=2,shard=5,hosts=1\r\n" + more +
+           (body.empty() ? ""
+                         : "Idempotency-Key: k\r\nContent-Length: " + std::to_string(body.size()) + "\r\n") +
+           "\r\n" + body;
+}
+long long World::counter(const std::string& name) {
+    const std::string text = '\n' + ask("GET /counters HTTP/1.1\r\nHost: b\r\n\r\n").body;
+    const std::size_t at = text.find('\n' + name + ' ');
+    return at == text.npos ? 0 : std::stoll(text.substr(at + name.size() + 2));
+}
+
+std::pair<int, std::string> runOnce(const Json& config, const Json& nbd) {
+    const std::string folder = newFolder();
+    int status = 0;
+    waitpid(spawn(folder, config, nbd), &status, 0);
+    const std::string log = contents(folder + "/log");
+    std::filesystem::remove_all(folder);
+    return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, log};
+}
+
+}  // namespace martencove::test
--- /dev/null
+++ b/tests/program/world.h
@@ -0,0 +1,131 @@
+// The world around the program, for tests: it is started as a process, and its clients, storage nodes,
+// discovery and peers are stand-ins on loopback, all on one event loop.
+#pragma once
+
+#include <signal.h>
+#include <sys/types.h>
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "net/address.h"
+#include "net/loop.h"
+
+namespace martencove::test {
+
+using Json = nlohmann::json;
+
+/// A connection that keeps all that came.
+class Wire {
+public:
+    Wire(event_base* base, const Address& to);         ///< a client's
+    Wire(event_base* base, evutil_socket_t accepted);  ///< a server's
+    void send(const std::string& bytes);
+    void close() { socket_.reset(); }
+    std::string got;      ///< what has come and nobody has taken
+    bool closed = false;  ///< by the other side
+    std::function<void(Wire&)> onData;
+
+private:
+    void watch();
+    Owned<bufferevent> socket_;
+};
+
+/// A raw TCP server on a port of its own.
+class Listener {
+public:
+    Listener(event_base* base, std::function<void(Wire&)> onData);
+    ~Listener();
+    Address address;
+    std::list<Wire> wires;
+
+private:
+    static void accepted(struct evconnlistener*, evutil_socket_t, struct sockaddr*, int, void*);
+    event_base* base_;
+    std::function<void(Wire&)> onData_;
+    struct evconnlistener* listener_;
+};
+
+/// One HTTP message off the front of `text`: its head and body; nothing where it is not whole.
+struct HttpText {
+    std::string head, body;
+    [[nodiscard]] std::string header(const std::string& name) const;
+    [[nodiscard]] int code() const { return std::stoi(head.substr(9, 3)); }
+    [[nodiscard]] std::string line() const { return head.substr(0, head.find("\r\n")); }
+};
+[[nodiscard]] std::optional<HttpText> takeHttp(std::string& text);
+[[nodiscard]] std::string httpReply(int code, const std::string& body, const std::string& headers = "");
+
+/// A storage node over HTTP: `answer` gets each request, and answers on the wire or doesn't.
+struct HttpNode {
+    using Answer = std::function<void(Wire&, const HttpText&)>;
+    HttpNode(event_base* base, Answer answer);
+    std::vector<HttpText> requests;
+    Answer answer;
+    Listener listener;
+};
+/// Answers 200 with a text that names the request.
+void serve(Wire& wire, const HttpText& request);
+
+class World {
+public:
+    World();
+    ~World();
+
+    /// Starts the program with what `config` and `nbd` say now, and waits until it is ready.
+    void start();
+    /// Runs the loop until it holds. The time-out only keeps a broken program from hanging the test.
+    [[nodiscard]] bool until(const std::function<bool()>& holds, double mostMs = 20000);
+    /// Lets the program end; its exit code.
+    [[nodiscard]] int end(int signal = SIGTERM);
+    [[nodiscard]] bool running();
+    void signal(int number) const { kill(pid_, number); }
+
+    /// Tells of a node; `health` "gone" removes it.
+    void tell(const std::string& name, const Address& dial, int shard, const std::string& health = "ready");
+    void tellRaw(const std::string& body);
+
+    Wire& connect();
+    Wire& connect(const Address& to);
+    /// Sends it on a new connection and waits for the answer.
+    [[nodiscard]] HttpText ask(const std::string& request);
+    [[nodiscard]] std::string request(const std::string& id, const std::string& more = "",
+                                      int deadlineMs = 5000, const std::string& body = "");
+    [[nodiscard]] long long counter(const std::string& name);
+    [[nodiscard]] Json entry(const std::string& name, const Address& dial, int shard,
+                             const std::string& health) const;
+
+    Owned<event_base> base = makeBase();
+    Json config;
+    Json nbd;
+    Address listen, nbdListen, peerListen;
+    std::string log;  ///< what the program wrote
+    int watches = 0;  ///< calls that discovery got
+
+private:
+    void answerWatches();
+    void readLog();
+
+    Json changes_ = Json::array();
+    std::string raw_;
+    int seq_ = 1;
+    std::vector<Wire*> waiting_;
+    Listener discovery_;
+    std::list<Wire> clients_;
+    std::string folder_;
+    pid_t pid_ = 0;
+    int exit_ = -1;
+};
+
+/// A port that nothing listens on.
+[[nodiscard]] Address freeAddress();
+/// The exit code and standard error of the program, for settings that it should not take.
+[[nodiscard]] std::pair<int, std::string> runOnce(const Json& config, const Json& nbd = {});
+
+}  // namespace martencove::test
