--- a/src/core/desk.cpp
+++ b/src/core/desk.cpp
@@ -28,7 +28,11 @@
 bool Desk::take(const Request& request, std::shared_ptr<Job> job) {
     if (facade_.openRequests() >= limits_.openRequests || held_.contains(request.id)) return false;
     counters_.add("request_taken");
-    held_[request.id].job = std::move(job);
+    Held& held = held_[request.id];
+    held.job = std::move(job);
+    held.planNo = request.planNo;
+    held.units = request.units;
+    countUnits("units_taken_plan_", held);
     carryOut(facade_.pick(nowMs(), request));
     return true;
 }
@@ -75,6 +79,7 @@
             counters_.add(nameOf(answer.verdict));
             const auto at = held_.find(answer.id);
             if (at == held_.end()) continue;
+            if (answer.verdict == Verdict::served) countUnits("units_served_plan_", at->second);
             const auto job = at->second.job;  // lives through the call
             job->answer(answer);
             release(answer.id);
@@ -112,6 +117,10 @@
     if (at != held_.end() && at->second.out.empty() && !facade_.open(id)) held_.erase(at);
 }
 
+void Desk::countUnits(const char* what, const Held& held) {
+    counters_.add(what + std::to_string(held.planNo), static_cast<std::uint64_t>(std::llround(held.units)));
+}
+
 // Nodes stay known after they have left the list: attempts may still be out there.
 void Desk::remember(const NodeList& list) {
     for (const NodeEntry& node : list.nodes) {
--- a/src/core/desk.h
+++ b/src/core/desk.h
@@ -62,11 +62,14 @@
     };
     struct Held {
         std::shared_ptr<Job> job;
+        int planNo = 0;
+        double units = 0;
         std::unordered_map<int, Out> out;
     };
     void carryOut(Todo todo);
     void carryOut(const Attempt& attempt);
     void release(const RequestId& id);
+    void countUnits(const char* what, const Held& held);
     void remember(const NodeList& list);
 
     Facade& facade_;
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -39,6 +39,8 @@
     double drainAcceptMs = 450;    // after SIGTERM: new connections are still taken
     double drainQuietMs = 300;     // and after the listener's close: what is on its way still comes
     double drainMostMs = 4600;     // and the longest that the end may take
+    double etcdQuietMs = 30000;    // a watch that says nothing for so long is asked for anew
+    double etcdBadMs = 1000;       // rest after an answer that cannot be read
     double nbdHandshakeMs = 5000;
     double sweepMs = 250;  // between looks at idle connections
 };
--- /dev/null
+++ b/src/etcd/source.h
@@ -0,0 +1,57 @@
+// Storage nodes from etcd: one key for each under a prefix, its value an entry as discovery would write it. A
+// range brings the whole list, then a watch from the next revision brings each change.
+#pragma once
+
+#include <functional>
+#include <map>
+
+#include "core/counters.h"
+#include "core/limits.h"
+#include "core/values.h"
+#include "net/address.h"
+#include "net/log.h"
+#include "net/loop.h"
+
+namespace martencove::etcd {
+
+struct Config {
+    Address address;
+    std::string prefix;
+};
+/// Reads the operator's file. Throws ConfigError.
+[[nodiscard]] Config readConfig(const std::string& path);
+
+class Source {
+public:
+    Source(event_base* base, Config config, const Limits& limits, Counters& counters, BoundedLog& log,
+           std::function<void(const NodeList&)> told);
+    Source(const Source&) = delete;
+    Source& operator=(const Source&) = delete;
+
+private:
+    static void piece(evhttp_request* request, void* self);
+    static void over(evhttp_request* request, void* self);
+    void call();
+    void takeRange();
+    void takeWatched();
+    /// Tells a change; `whole`: all there is, and what is not among it is gone.
+    void tell(const struct Update& update, bool whole);
+    void ignore(const std::string& why);
+    void again(double afterMs);
+
+    event_base* base_;
+    Config config_;
+    const Limits& limits_;
+    Counters& counters_;
+    BoundedLog& log_;
+    std::function<void(const NodeList&)> told_;
+    Owned<evhttp_connection> connection_;
+    std::map<std::string, NodeEntry> nodes_;  // by key
+    std::int64_t revision_ = 0;               // of the last change told; 0: the whole list is needed
+    bool watching_ = false;                   // the present call is a watch
+    std::string pending_;                     // of the present call's answer
+    Timer next_;
+    Timer quiet_;
+};
+
+}  // namespace martencove::etcd
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,11 +3,14 @@
 #include <cstdio>
 #include <exception>
 #include <optional>
-#include <string_view>
+#include <string>
 
 #include "config/config.h"
 #include "config/nbd_config.h"
 #include "core/desk.h"
+#ifdef MARTENCOVE_ETCD
+#include "etcd/source.h"
+#endif
 #include "http/front.h"
 #include "nbd/front.h"
 #include "net/discovery.h"
@@ -18,9 +21,17 @@
 namespace martencove {
 namespace {
 
+/// What the operator's files ask for besides the platform's front.
+struct Extras {
+    std::optional<NbdConfig> nbd;
+#ifdef MARTENCOVE_ETCD
+    std::optional<etcd::Config> etcd;
+#endif
+};
+
 class Program {
 public:
-    Program(Config config, std::optional<NbdConfig> nbd)
+    Program(Config config, Extras extras)
         : config_(std::move(config)),
           base_(makeBase()),
           log_(clock_, config_.limits),
@@ -28,8 +39,6 @@
           facade_(config_.site.module, config_.seed, clock_.nowMs(), config_.known),
           desk_(facade_, clock_, config_.limits, counters_, ports(), config_.known),
           pool_(base_.get(), clock_, config_.limits, counters_),
-          discovery_(base_.get(), config_.discovery, config_.known.version, config_.limits, counters_, log_,
-                     [this](const NodeList& list) { desk_.learn(list); }),
           front_(base_.get(), config_.listen, desk_, pool_, config_.site, config_.limits, log_),
           term_(base_.get(), SIGTERM, [this] { drain(); }),
           interrupt_(base_.get(), SIGINT, [this] { drain(); }),
@@ -38,9 +47,19 @@
         if (config_.peerListen)
             peers_.emplace(base_.get(), *config_.peerListen, config_.peers, config_.limits, counters_, log_,
                            [this](const PeerMessage& message) { desk_.hear(message); });
-        if (nbd) {
+        const auto told = [this](const NodeList& list) { desk_.learn(list); };
+#ifdef MARTENCOVE_ETCD
+        if (extras.etcd) etcd_.emplace(base_.get(), *extras.etcd, config_.limits, counters_, log_, told);
+        const bool watch = !extras.etcd;
+#else
+        const bool watch = true;
+#endif
+        if (watch)
+            discovery_.emplace(base_.get(), config_.discovery, config_.known.version, config_.limits,
+                               counters_, log_, told);
+        if (extras.nbd) {
             nbdPool_.emplace(base_.get(), clock_, config_.limits, counters_);
-            nbdFront_.emplace(base_.get(), std::move(*nbd), desk_, *nbdPool_, config_.limits, log_);
+            nbdFront_.emplace(base_.get(), std::move(*extras.nbd), desk_, *nbdPool_, config_.limits, log_);
         }
         desk_.tick();
         spdlog::info("{} listens on {}, {} nodes known", config_.name, config_.listen.text(),
@@ -99,7 +118,10 @@
     Facade facade_;
     Desk desk_;
     NodePool pool_;
-    Discovery discovery_;
+    std::optional<Discovery> discovery_;
+#ifdef MARTENCOVE_ETCD
+    std::optional<etcd::Source> etcd_;  // in discovery's place
+#endif
     HttpFront front_;
     std::optional<nbd::Pool> nbdPool_;
     std::optional<nbd::Front> nbdFront_;
@@ -110,6 +132,26 @@
     std::optional<double> drainedMs_;
 };
 
+/// The operator's files, by option.
+Extras readExtras(int argc, char** argv, limedrum::Site& site) {
+    Extras out;
+    for (int i = 1; i < argc; i += 2) {
+        const std::string option = argv[i];
+        const bool known = option == "--nbd" || option == "--etcd";
+        if (!known || i + 1 == argc) throw ConfigError("usage: martencove [--nbd FILE] [--etcd FILE]");
+        if (option == "--nbd") {
+            out.nbd = readNbdConfig(argv[i + 1], site);
+            continue;
+        }
+#ifdef MARTENCOVE_ETCD
+        out.etcd = etcd::readConfig(argv[i + 1]);
+#else
+        throw ConfigError("--etcd: this build is without it (MARTENCOVE_ETCD)");
+#endif
+    }
+    return out;
+}
+
 }  // namespace
 }  // namespace martencove
 
@@ -117,13 +159,8 @@
     std::signal(SIGPIPE, SIG_IGN);
     try {
         martencove::Config config = martencove::readConfig();
-        std::optional<martencove::NbdConfig> nbd;
-        if (argc == 3 && std::string_view(argv[1]) == "--nbd") {
-            nbd = martencove::readNbdConfig(argv[2], config.site);
-        } else if (argc != 1) {
-            throw martencove::ConfigError("usage: martencove [--nbd FILE]");
-        }
-        martencove::Program(std::move(config), std::move(nbd)).run();
+        martencove::Extras extras = martencove::readExtras(argc, argv, config.site);
+        martencove::Program(std::move(config), std::move(extras)).run();
     } catch (const std::exception& error) {
         std::fprintf(stderr, "martencove: %s\n", error.what());
         return 1;
--- a/src/net/node_list.cpp
+++ b/src/net/node_list.cpp
@@ -16,32 +16,44 @@
     return static_cast<NodeId>(hash ^ (hash >> 32));
 }
 
+namespace {
+
+NodeEntry nodeEntry(const Json& entry) {
+    NodeEntry node;
+    node.name = text(need(entry, "host"), "host");
+    node.id = nodeIdOf(node.name);
+    node.shard = small(need(entry, "block"), "block");
+    node.state = word<NodeState>(
+        text(need(entry, "health"), "health"), "health",
+        {{"ready", NodeState::ready}, {"draining", NodeState::draining}, {"gone", NodeState::gone}});
+    node.dial = text(entry, "dial", "");
+    if (node.state != NodeState::gone && !parseAddress(node.dial)) complain("dial", "not an address");
+    node.bornMs = number(entry, "born_ms", 0.0);
+    return node;
+}
+
+Json parsed(const std::string& content) {
+    Json json = Json::parse(content, nullptr, false);
+    if (!json.is_object()) complain("list", "not a JSON object");
+    return json;
+}
+
+}  // namespace
+
+NodeEntry decodeNodeEntry(const std::string& content) { return nodeEntry(parsed(content)); }
+
 NodeList decodeNodeList(const Json& json) {
     NodeList out;
     out.version = whole(need(json, "seq"), "seq");
     out.whole = truth(need(json, "whole"), "whole");
     std::set<NodeId> seen;
     for (const Json& entry : list(need(json, "hosts"), "hosts")) {
-        NodeEntry node;
-        node.name = text(need(entry, "host"), "host");
-        node.id = nodeIdOf(node.name);
-        node.shard = small(need(entry, "block"), "block");
-        node.state = word<NodeState>(
-            text(need(entry, "health"), "health"), "health",
-            {{"ready", NodeState::ready}, {"draining", NodeState::draining}, {"gone", NodeState::gone}});
-        node.dial = text(entry, "dial", "");
-        if (node.state != NodeState::gone && !parseAddress(node.dial)) complain("dial", "not an address");
-        node.bornMs = number(entry, "born_ms", 0.0);
-        if (!seen.insert(node.id).second) complain("host", "named twice");
-        out.nodes.push_back(std::move(node));
+        out.nodes.push_back(nodeEntry(entry));
+        if (!seen.insert(out.nodes.back().id).second) complain("host", "named twice");
     }
     return out;
 }
 
-NodeList decodeNodeList(const std::string& text) {
-    const Json json = Json::parse(text, nullptr, false);
-    if (json.is_discarded()) complain("list", "not JSON");
-    return decodeNodeList(json);
-}
+NodeList decodeNodeList(const std::string& content) { return decodeNodeList(parsed(content)); }
 
 }  // namespace martencove
--- /dev/null
+++ b/tests/program/etcd_test.cpp
@@ -0,0 +1,125 @@
+// Nodes from etcd: a stand-in answers ranges and watches as the JSON gateway does.
+#include <doctest/doctest.h>
+
+#include "etcd/messages.h"
+#include "world.h"
+
+using namespace martencove::test;
+using martencove::etcd::fromBase64;
+using martencove::etcd::toBase64;
+
+namespace {
+
+struct EtcdWorld {
+    EtcdWorld()
+        : node(world.base.get(), serve), gateway(world.base.get(), [this](Wire& wire) { read(wire); }) {
+        world.etcd = {{"address", gateway.address.text()}, {"prefix", "/nodes/"}};
+        pairs = Json::array({pair("s-1", 5)});
+    }
+    Json pair(const std::string& name, int shard) {
+        const std::string value = world.entry(name, node.listener.address, shard, "ready").dump();
+        return {{"key", toBase64("/nodes/" + name)}, {"value", toBase64(value)}};
+    }
+    void read(Wire& wire) {
+        while (const auto request = takeHttp(wire.got)) {
+            const Json body = Json::parse(request->body);
+            const bool range = request->line() == "POST /v3/kv/range HTTP/1.1";
+            const Json& asked = range ? body : body["create_request"];
+            CHECK(fromBase64(asked["key"]) == "/nodes/");
+            CHECK(fromBase64(asked["range_end"]) == "/nodes0");
+            if (range) {
+                ++ranges;
+                const Json answer{{"header", {{"revision", std::to_string(revision)}}}, {"kvs", pairs}};
+                wire.send(httpReply(200, answer.dump()));
+                continue;
+            }
+            starts.push_back(asked["start_revision"]);
+            watch = &wire;
+            wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+            say({{"created", true}});
+        }
+    }
+    /// A message of the watch, in chunks cut without regard to it.
+    void say(Json result) {
+        result["header"] = {{"revision", std::to_string(revision)}};
+        const std::string line = Json{{"result", result}}.dump() + '\n';
+        for (const std::string& part : {line.substr(0, 9), line.substr(9)}) {
+            char size[16];
+            std::snprintf(size, sizeof size, "%zx\r\n", part.size());
+            watch->send(size + part + "\r\n");
+        }
+    }
+    void change(const std::string& type, const Json& pair) {
+        ++revision;
+        Json event{{"kv", pair}};
+        if (type != "PUT") event["type"] = type;  // the gateway leaves out what is the default
+        say({{"events", Json::array({event})}});
+    }
+    bool watches(std::size_t count) {
+        return world.until([&] { return starts.size() >= count; });
+    }
+    World world;
+    HttpNode node;
+    Listener gateway;
+    Json pairs;
+    int revision = 7, ranges = 0;
+    std::vector<std::string> starts;
+    Wire* watch = nullptr;
+};
+
+}  // namespace
+
+TEST_CASE("base64 as RFC 4648 has it") {
+    for (const auto& [plain, coded] : {std::pair("", ""), std::pair("f", "Zg=="), std::pair("fo", "Zm8="),
+                                       std::pair("foo", "Zm9v"), std::pair("foobar", "Zm9vYmFy")}) {
+        CHECK(toBase64(plain) == coded);
+        CHECK(fromBase64(coded) == plain);
+    }
+    for (const char* bad : {"Z", "Zg=", "Z===", "Zg==Zg==", "Z!=="}) CHECK(!fromBase64(bad));
+}
+
+TEST_CASE("etcd: the whole list, then each change from the next revision on") {
+    EtcdWorld t;
+    t.world.start();
+    REQUIRE(t.watches(1));
+    CHECK(t.starts == std::vector<std::string>{"8"});
+    CHECK(t.world.ask(t.world.request("1")).code() == 200);
+    t.change("DELETE", {{"key", toBase64("/nodes/s-1")}});
+    REQUIRE(t.world.until([&] { return t.world.counter("etcd_update") == 2; }));
+    CHECK(t.world.ask(t.world.request("2", "", 400)).code() == 503);
+    t.change("PUT", t.pair("s-2", 5));
+    REQUIRE(t.world.until([&] { return t.world.counter("etcd_update") == 3; }));
+    CHECK(t.world.ask(t.world.request("3")).code() == 200);
+
+    // A watch that breaks is asked for again where it stood, and no list.
+    t.watch->close();
+    REQUIRE(t.watches(2));
+    CHECK(t.starts.back() == "10");
+    CHECK(t.ranges == 1);
+    CHECK(t.world.watches == 0);  // the platform's discovery is not asked
+}
+
+// Guards against holding on to a list whose changes were lost.
+TEST_CASE("etcd: after a compaction or a change that cannot be read, the whole list again") {
+    EtcdWorld t;
+    t.world.start();
+    REQUIRE(t.watches(1));
+    t.pairs = Json::array({t.pair("s-3", 5)});
+    t.revision = 20;
+    t.say({{"canceled", true}, {"compact_revision", "15"}});
+    REQUIRE(t.watches(2));
+    CHECK(t.ranges == 2);
+    CHECK(t.starts.back() == "21");
+    t.change("PUT", {{"key", toBase64("/nodes/s-4")}, {"value", toBase64("{}")}});
+    REQUIRE(t.watches(3));
+    CHECK(t.ranges == 3);
+    CHECK(t.world.counter("etcd_bad") == 1);
+    CHECK(t.world.ask(t.world.request("1")).code() == 200);
+}
+
+TEST_CASE("etcd: a bad value in the operator's file") {
+    const World world;
+    const auto [code, text] = runOnce(world.config, {}, {{"address", "x"}, {"prefix", "/"}});
+    CHECK(code == 1);
+    CHECK(text == "martencove: etcd file: address: not an address\n");
+}
--- a/tests/program/world.cpp
+++ b/tests/program/world.cpp
@@ -31,18 +31,24 @@
     return text.str();
 }
 
-pid_t spawn(const std::string& folder, const Json& config, const Json& nbd) {
+pid_t spawn(const std::string& folder, const Json& config, const Json& nbd, const Json& etcd) {
     std::ofstream(folder + "/config.json") << config;
-    std::ofstream(folder + "/nbd.json") << nbd;
+    std::vector<std::string> words{"martencove"};
+    for (const auto& [name, file] : {std::pair("nbd", nbd), std::pair("etcd", etcd)}) {
+        if (file.is_null()) continue;
+        words.insert(words.end(), {std::string("--") + name, folder + '/' + name});
+        std::ofstream(words.back()) << file;
+    }
+    std::vector<char*> argv;
+    for (std::string& word : words) argv.push_back(word.data());
+    argv.push_back(nullptr);
     const pid_t pid = fork();
     if (pid != 0) return pid;
     const int out = open((folder + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     dup2(out, 1);
     dup2(out, 2);
     setenv("NODE_CONFIG", (folder + "/config.json").c_str(), 1);
-    const std::string file = folder + "/nbd.json";
-    nbd.is_null() ? execl(MARTENCOVE_PROGRAM, "martencove", nullptr)
-                  : execl(MARTENCOVE_PROGRAM, "martencove", "--nbd", file.c_str(), nullptr);
+    execv(MARTENCOVE_PROGRAM, argv.data());
     _exit(127);
 }
 
@@ -140,8 +146,10 @@
     return out;
 }
 
-World::World()
-    : listen(freeAddress()),
+World::World(event_base* shared)
+    : ownBase(shared == nullptr ? makeBase() : nullptr),
+      base{shared == nullptr ? ownBase.get() : shared},
+      listen(freeAddress()),
       nbdListen(freeAddress()),
       peerListen(freeAddress()),
       discovery_(base.get(),
@@ -165,8 +173,10 @@
                                        {"Group", "cell"},
                                        {"DedupWindowMs", 4000},
                                        {"Points", 2}}});
-    const Json plans = Json::array({{{"Name", "basic"}, {"Rate", 50}, {"Reserve", 20}},
-                                    {{"Name", "capped"}, {"Rate", 50}, {"Cap", 20}, {"CapDepth", 4}}});
+    const Json plans =
+        Json::array({{{"Name", "basic"}, {"Rate", 50}, {"Reserve", 20}},
+                     {{"Name", "capped"}, {"Rate", 50}, {"Reserve", 15}, {"Cap", 20}, {"CapDepth", 4}},
+                     {{"Name", "heavy"}, {"Rate", 50}, {"Reserve", 20}, {"Proportion", 3}}});
     config = {{"name", "n0"},
               {"listen", listen.text()},
               {"discovery", discovery_.address.text()},
@@ -202,7 +212,7 @@
 }
 
 void World::start() {
-    pid_ = spawn(folder_, config, nbd);
+    pid_ = spawn(folder_, config, nbd, etcd);
     std::unique_ptr<Wire> health;
     const bool up = until([&] {
         if (!health || health->closed) {
@@ -286,10 +296,10 @@
     return at == text.npos ? 0 : std::stoll(text.substr(at + name.size() + 2));
 }
 
-std::pair<int, std::string> runOnce(const Json& config, const Json& nbd) {
+std::pair<int, std::string> runOnce(const Json& config, const Json& nbd, const Json& etcd) {
     const std::string folder = newFolder();
     int status = 0;
-    waitpid(spawn(folder, config, nbd), &status, 0);
+    waitpid(spawn(folder, config, nbd, etcd), &status, 0);
     const std::string log = contents(folder + "/log");
     std::filesystem::remove_all(folder);
     return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, log};
--- a/tests/program/world.h
+++ b/tests/program/world.h
@@ -75,7 +75,8 @@
 
 class World {
 public:
-    World();
+    /// On an event loop of its own, or on one that it shares with another world.
+    explicit World(event_base* shared = nullptr);
     ~World();
 
     /// Starts the program with what `config` and `nbd` say now, and waits until it is ready.
@@ -101,9 +102,13 @@
     [[nodiscard]] Json entry(const std::string& name, const Address& dial, int shard,
                              const std::string& health) const;
 
-    Owned<event_base> base = makeBase();
+    Owned<event_base> ownBase;
+    struct Base {  // reads as a pointer
+        event_base* at;
+        event_base* get() const { return at; }
+    } base;
     Json config;
-    Json nbd;
+    Json nbd, etcd;  ///< the operator's files; null: not named
     Address listen, nbdListen, peerListen;
     std::string log;  ///< what the program wrote
     int watches = 0;  ///< calls that discovery got
@@ -126,6 +131,7 @@
 /// A port that nothing listens on.
 [[nodiscard]] Address freeAddress();
 /// The exit code and standard error of the program, for settings that it should not take.
-[[nodiscard]] std::pair<int, std::string> runOnce(const Json& config, const Json& nbd = {});
+[[nodiscard]] std::pair<int, std::string> runOnce(const Json& config, const Json& nbd = {},
+                                                  const Json& etcd = {});
 
 }  // namespace martencove::test
