--- a/include/limedrum/scheduler.h
+++ b/include/limedrum/scheduler.h
@@ -181,6 +181,16 @@
 };
 using Action = std::variant<Send, Cancel, Refuse, Fail, SetTimer, TellPeer, Subscribe, Log>;
 
+/// How an instance sees a node now.
+struct NodeView {
+    NodeId node = 0;
+    int cell = 0;
+    NodeState state = NodeState::serving;
+    bool chosen = false;  ///< new work of its cell goes to it
+    bool silent = false;  ///< takes work and answers nothing
+    double rate = 0;      ///< units a second that it can do; 0: not learned
+};
+
 class Scheduler {
 public:
     Scheduler(Settings settings, std::uint64_t seed, double nowMs);
@@ -191,6 +201,9 @@
     /// Handles what arrived at `nowMs`, in order; returns what to do at `nowMs`, in order.
     [[nodiscard]] std::vector<Action> handle(double nowMs, std::span<const Event> events);
 
+    /// All nodes of the list that are not gone, by their numbers.
+    [[nodiscard]] std::vector<NodeView> view() const;
+
     /// Entries held in the tables of requests, volumes, keys, nodes and pending attempts.
     [[nodiscard]] std::size_t tableSize() const;
 
--- a/src/core/desk.cpp
+++ b/src/core/desk.cpp
@@ -66,6 +66,17 @@
 
 void Desk::tick() { carryOut(facade_.tick(nowMs())); }
 
+std::vector<NodeView> Desk::view() const {
+    std::vector<NodeView> out = facade_.view();
+    for (NodeView& view : out) {
+        const auto known = nodes_.find(view.node.id);
+        if (known == nodes_.end()) continue;
+        view.node.name = known->second.name;
+        view.node.dial = known->second.dial;
+    }
+    return out;
+}
+
 // What carrying out leads to (an attempt that fails at once, say) waits its turn: the module is never called
 // from within its own answer.
 void Desk::carryOut(Todo todo) {
--- a/src/core/desk.h
+++ b/src/core/desk.h
@@ -50,7 +50,9 @@
     /// The program ends: lets go of what is still held, before the parts that jobs stand on.
     void letGo() { held_.clear(); }
 
-    [[nodiscard]] bool idle() const { return held_.empty(); }
+    /// The nodes as the decisions see them, with their names and addresses.
+    [[nodiscard]] std::vector<NodeView> view() const;
+
     [[nodiscard]] std::size_t open() const { return facade_.openRequests(); }
     [[nodiscard]] double nowMs() const { return clock_.nowMs(); }
     Counters& counters() { return counters_; }
--- a/src/core/facade.cpp
+++ b/src/core/facade.cpp
@@ -90,6 +90,18 @@
     return timers_.empty() ? std::numeric_limits<double>::infinity() : timers_.begin()->first;
 }
 
+std::vector<NodeView> Facade::view() const {
+    std::vector<NodeView> out;
+    for (const limedrum::NodeView& seen : scheduler_.view()) {
+        NodeView view{{}, seen.chosen, seen.silent, seen.rate};
+        view.node.id = seen.node;
+        view.node.shard = seen.cell;
+        view.node.state = seen.state == limedrum::NodeState::serving ? NodeState::ready : NodeState::draining;
+        out.push_back(view);
+    }
+    return out;
+}
+
 Todo Facade::run(double nowMs, limedrum::Event event) {
     return translate(nowMs, scheduler_.handle(nowMs, std::span(&event, 1)));
 }
--- a/src/core/facade.h
+++ b/src/core/facade.h
@@ -32,6 +32,9 @@
     /// When tick() is due next.
     [[nodiscard]] double nextTickMs() const;
 
+    /// The nodes as the decisions see them; of each entry its id, shard and state are filled in.
+    [[nodiscard]] std::vector<NodeView> view() const;
+
     [[nodiscard]] bool open(const RequestId& id) const { return open_.contains(id); }
     [[nodiscard]] std::size_t openRequests() const { return open_.size(); }
 
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -21,6 +21,7 @@
     std::size_t nodeConnections = 480;
     std::size_t openRequests = 4096;
     std::size_t nodes = 4096;
+    std::size_t xdsStreams = 16;
     std::size_t nbdClients = 32;
     std::size_t nbdCommands = 16;        // in work for one client
     std::size_t nbdOptions = 64;         // in one handshake
@@ -41,6 +42,7 @@
     double drainMostMs = 4600;     // and the longest that the end may take
     double etcdQuietMs = 30000;    // a watch that says nothing for so long is asked for anew
     double etcdBadMs = 1000;       // rest after an answer that cannot be read
+    double xdsLookMs = 500;        // between looks at what proxies should be told
     double nbdHandshakeMs = 5000;
     double sweepMs = 250;  // between looks at idle connections
 };
--- a/src/core/values.h
+++ b/src/core/values.h
@@ -80,6 +80,14 @@
     std::vector<NodeEntry> nodes;
 };
 
+/// How the decisions see a node now.
+struct NodeView {
+    NodeEntry node;
+    bool chosen = false;  ///< new work of its shard goes to it
+    bool silent = false;  ///< it takes work and answers nothing
+    double rate = 0;      ///< units a second that it can do; 0: not learned
+};
+
 /// What is to be done now, at the time of the call that returned it.
 struct Todo {
     std::vector<Answer> answers;
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -102,6 +102,16 @@
         return std::move(actions_);
     }
 
+    std::vector<NodeView> view() const {
+        std::vector<NodeView> out;
+        for (const auto& [id, n] : nodes_) {
+            if (n.state == NodeState::gone) continue;
+            const bool chosen = nodeOf(cells_.at(n.cell)) == &n;
+            out.push_back({id, n.cell, n.state, chosen, n.silentSinceMs > 0, n.rate});
+        }
+        return out;
+    }
+
     std::size_t tableSize() const {
         return requests_.size() + flights_.size() + nodes_.size() + volumes_.size() + lanes_.size() +
                taken_.entries.size() + extras_.entries.size() + expiries_.size() + cells_.size() +
@@ -917,6 +927,7 @@
 std::vector<Action> Scheduler::handle(double nowMs, std::span<const Event> events) {
     return impl_->handle(nowMs, events);
 }
+std::vector<NodeView> Scheduler::view() const { return impl_->view(); }
 std::size_t Scheduler::tableSize() const { return impl_->tableSize(); }
 
 }  // namespace limedrum
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -17,6 +17,9 @@
 #include "net/log.h"
 #include "net/loop.h"
 #include "net/peers.h"
+#ifdef MARTENCOVE_XDS
+#include "xds/server.h"
+#endif
 
 namespace martencove {
 namespace {
@@ -27,6 +30,9 @@
 #ifdef MARTENCOVE_ETCD
     std::optional<etcd::Config> etcd;
 #endif
+#ifdef MARTENCOVE_XDS
+    std::optional<Address> xds;
+#endif
 };
 
 class Program {
@@ -61,6 +67,11 @@
             nbdPool_.emplace(base_.get(), clock_, config_.limits, counters_);
             nbdFront_.emplace(base_.get(), std::move(*extras.nbd), desk_, *nbdPool_, config_.limits, log_);
         }
+#ifdef MARTENCOVE_XDS
+        if (extras.xds)
+            xds_.emplace(base_.get(), *extras.xds, config_.limits, counters_,
+                         [this] { return desk_.view(); });
+#endif
         desk_.tick();
         spdlog::info("{} listens on {}, {} nodes known", config_.name, config_.listen.text(),
                      config_.known.nodes.size());
@@ -125,6 +136,9 @@
     HttpFront front_;
     std::optional<nbd::Pool> nbdPool_;
     std::optional<nbd::Front> nbdFront_;
+#ifdef MARTENCOVE_XDS
+    std::optional<xds::Server> xds_;
+#endif
     SignalWatch term_;
     SignalWatch interrupt_;
     SignalWatch usr1_;
@@ -137,17 +151,23 @@
     Extras out;
     for (int i = 1; i < argc; i += 2) {
         const std::string option = argv[i];
-        const bool known = option == "--nbd" || option == "--etcd";
-        if (!known || i + 1 == argc) throw ConfigError("usage: martencove [--nbd FILE] [--etcd FILE]");
+        const bool known = option == "--nbd" || option == "--etcd" || option == "--xds";
+        if (!known || i + 1 == argc)
+            throw ConfigError("usage: martencove [--nbd FILE] [--etcd FILE] [--xds FILE]");
+        const std::string file = argv[i + 1];
         if (option == "--nbd") {
-            out.nbd = readNbdConfig(argv[i + 1], site);
-            continue;
-        }
+            out.nbd = readNbdConfig(file, site);
 #ifdef MARTENCOVE_ETCD
-        out.etcd = etcd::readConfig(argv[i + 1]);
-#else
-        throw ConfigError("--etcd: this build is without it (MARTENCOVE_ETCD)");
+        } else if (option == "--etcd") {
+            out.etcd = etcd::readConfig(file);
 #endif
+#ifdef MARTENCOVE_XDS
+        } else if (option == "--xds") {
+            out.xds = xds::readConfig(file);
+#endif
+        } else {
+            throw ConfigError(option + ": not in this build (CMake options MARTENCOVE_ETCD, MARTENCOVE_XDS)");
+        }
     }
     return out;
 }
--- /dev/null
+++ b/src/xds/server.cpp
@@ -0,0 +1,251 @@
+#include "xds/server.h"
+
+#include <grpcpp/grpcpp.h>
+
+#include <algorithm>
+#include <chrono>
+#include <cmath>
+#include <map>
+#include <mutex>
+#include <set>
+#include <stdexcept>
+
+#include "config/config.h"
+#include "endpoint.pb.h"
+#include "settings_json/fields.h"
+#include "xds.grpc.pb.h"
+
+namespace martencove::xds {
+namespace {
+
+namespace discovery = envoy::service::discovery::v3;
+namespace endpoint = envoy::config::endpoint::v3;
+
+constexpr const char* kEndpoints = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment";
+
+/// Resources by cluster, as their bytes.
+using Snapshot = std::map<std::string, std::string>;
+
+// Proxies turn to a degraded endpoint only where the healthy ones do not suffice: a shard's work goes to the
+// node that the decisions choose.
+endpoint::HealthStatus healthOf(const NodeView& view) {
+    if (view.node.state == NodeState::draining) return endpoint::DRAINING;
+    if (view.silent) return endpoint::UNHEALTHY;
+    return view.chosen ? endpoint::HEALTHY : endpoint::DEGRADED;
+}
+
+Snapshot snapshotOf(const std::vector<NodeView>& nodes) {
+    std::map<std::string, endpoint::ClusterLoadAssignment> clusters;
+    for (const NodeView& view : nodes) {
+        const auto dial = parseAddress(view.node.dial);
+        if (!dial) continue;
+        const std::string name = "shard-" + std::to_string(view.node.shard);
+        auto& cluster = clusters[name];
+        cluster.set_cluster_name(name);
+        auto* out = (cluster.endpoints_size() == 0 ? cluster.add_endpoints() : cluster.mutable_endpoints(0))
+                        ->add_lb_endpoints();
+        auto* address = out->mutable_endpoint()->mutable_address()->mutable_socket_address();
+        address->set_address(dial->host);
+        address->set_port_value(dial->port);
+        out->set_health_status(healthOf(view));
+        // In steps of an eighth, so that what is learned of a rate does not make a new version each round.
+        const double step = std::round(std::log2(std::max(view.rate, 1.0)) * 8) / 8;
+        out->mutable_load_balancing_weight()->set_value(
+            static_cast<std::uint32_t>(std::lround(std::exp2(step))));
+    }
+    Snapshot out;
+    for (const auto& [name, cluster] : clusters) out[name] = cluster.SerializeAsString();
+    return out;
+}
+
+}  // namespace
+
+class Stream;
+
+/// The streams and what they are told. Its members may be called from any thread.
+class Streams final : public discovery::AggregatedDiscoveryService::CallbackService {
+public:
+    explicit Streams(std::size_t most) : most_(most) {}
+    grpc::ServerBidiReactor<discovery::DiscoveryRequest, discovery::DiscoveryResponse>*
+    StreamAggregatedResources(grpc::CallbackServerContext*) override;
+    void publish(Snapshot snapshot);
+    /// Both under `mutex`.
+    const Snapshot& snapshot() const { return snapshot_; }
+    std::uint64_t version() const { return version_; }
+    void remove(Stream* stream) { streams_.erase(stream); }
+
+    std::map<std::string, std::uint64_t> takeCounts() {
+        const std::lock_guard lock(mutex);
+        return std::exchange(counts_, {});
+    }
+    void count(const char* name) { ++counts_[name]; }  ///< under `mutex`
+
+    std::unique_ptr<grpc::Server> server;
+    std::mutex mutex;
+
+private:
+    std::size_t most_;
+    Snapshot snapshot_;
+    std::uint64_t version_ = 0;
+    std::set<Stream*> streams_;
+    std::map<std::string, std::uint64_t> counts_;
+};
+
+/// One proxy's stream: it names clusters, is told of them, and again when one of them changes.
+class Stream final
+    : public grpc::ServerBidiReactor<discovery::DiscoveryRequest, discovery::DiscoveryResponse> {
+public:
+    explicit Stream(Streams& streams) : streams_(streams) { StartRead(&request_); }
+
+    void OnReadDone(bool ok) override {
+        const std::lock_guard lock(streams_.mutex);
+        if (!ok) return end();
+        if (ended_) return;  // called off meanwhile: nothing more may be started
+        take();
+        tell();
+        StartRead(&request_);
+    }
+    void OnWriteDone(bool ok) override {
+        const std::lock_guard lock(streams_.mutex);
+        writing_ = false;
+        if (!ok) return end();
+        tell();
+    }
+    void OnCancel() override {
+        const std::lock_guard lock(streams_.mutex);
+        end();
+    }
+    void OnDone() override {
+        {
+            const std::lock_guard lock(streams_.mutex);
+            streams_.remove(this);
+        }
+        delete this;
+    }
+
+    /// Sends what has changed of what was asked for, one answer at a time. Under the mutex, as all below.
+    void tell() {
+        if (writing_ || ended_ || names_.empty()) return;
+        Snapshot due;
+        for (const std::string& name : names_) {
+            const auto at = streams_.snapshot().find(name);
+            // A cluster that is not there (any more) has no endpoints.
+            endpoint::ClusterLoadAssignment none;
+            none.set_cluster_name(name);
+            due[name] = at == streams_.snapshot().end() ? none.SerializeAsString() : at->second;
+        }
+        if (due == told_) return;
+        told_ = due;
+        nonce_ = std::to_string(++answers_);
+        response_.Clear();
+        response_.set_version_info(std::to_string(streams_.version()));
+        response_.set_type_url(kEndpoints);
+        response_.set_nonce(nonce_);
+        for (const auto& [name, bytes] : due) {
+            auto* resource = response_.add_resources();
+            resource->set_type_url(kEndpoints);
+            resource->set_value(bytes);
+        }
+        writing_ = true;
+        streams_.count("xds_response");
+        StartWrite(&response_);
+    }
+
+private:
+    void take() {
+        streams_.count("xds_request");
+        if (request_.type_url() != kEndpoints) return;  // a kind that is not offered: it waits in vain
+        if (!request_.response_nonce().empty() && request_.response_nonce() != nonce_)
+            return;  // a newer one is out
+        // A proxy that could not use an answer keeps what it had; it is told again when something changes.
+        if (request_.has_error_detail()) streams_.count("xds_nack");
+        names_ = {request_.resource_names().begin(), request_.resource_names().end()};
+    }
+    void end() {
+        if (!std::exchange(ended_, true)) Finish(grpc::Status::OK);
+    }
+
+    Streams& streams_;
+    discovery::DiscoveryRequest request_;
+    discovery::DiscoveryResponse response_;
+    std::set<std::string> names_;
+    Snapshot told_;
+    std::string nonce_;
+    std::uint64_t answers_ = 0;
+    bool writing_ = false;
+    bool ended_ = false;
+};
+
+namespace {
+
+/// A stream over the bound.
+class TurnedAway final
+    : public grpc::ServerBidiReactor<discovery::DiscoveryRequest, discovery::DiscoveryResponse> {
+public:
+    TurnedAway() { Finish(grpc::Status(grpc::StatusCode::RESOURCE_EXHAUSTED, "too many streams")); }
+    void OnDone() override { delete this; }
+};
+
+}  // namespace
+
+grpc::ServerBidiReactor<discovery::DiscoveryRequest, discovery::DiscoveryResponse>*
+Streams::StreamAggregatedResources(grpc::CallbackServerContext*) {
+    const std::lock_guard lock(mutex);
+    if (streams_.size() >= most_) {
+        count("xds_turned_away");
+        return new TurnedAway;  // owns itself, as gRPC's reactors do
+    }
+    count("xds_stream");
+    auto* stream = new Stream(*this);
+    streams_.insert(stream);
+    return stream;
+}
+
+void Streams::publish(Snapshot snapshot) {
+    const std::lock_guard lock(mutex);
+    if (version_ > 0 && snapshot == snapshot_) return;
+    snapshot_ = std::move(snapshot);
+    ++version_;
+    for (Stream* stream : streams_) stream->tell();
+}
+
+Address readConfig(const std::string& path) {
+    using namespace limedrum::fields;
+    try {
+        const auto listen = parseAddress(text(need(readJsonFile(path, "xds file"), "listen"), "listen"));
+        if (!listen) complain("listen", "not an address");
+        return *listen;
+    } catch (const FieldError& error) {
+        throw ConfigError("xds file: " + std::string(error.what()));
+    }
+}
+
+Server::Server(event_base* base, const Address& listen, const Limits& limits, Counters& counters,
+               std::function<std::vector<NodeView>()> view)
+    : limits_(limits),
+      counters_(counters),
+      view_(std::move(view)),
+      streams_(std::make_unique<Streams>(limits.xdsStreams)),
+      look_(base, [this] { look(); }) {
+    grpc::ServerBuilder builder;
+    builder.AddListeningPort(listen.text(), grpc::InsecureServerCredentials());
+    builder.SetMaxReceiveMessageSize(static_cast<int>(limits.body));
+    builder.AddChannelArgument(GRPC_ARG_ALLOW_REUSEPORT, 0);
+    builder.RegisterService(streams_.get());
+    streams_->server = builder.BuildAndStart();
+    if (!streams_->server) throw std::runtime_error("xds listen: cannot bind " + listen.text());
+    look();
+}
+
+Server::~Server() {
+    streams_->server->Shutdown(std::chrono::system_clock::now());
+    streams_->server->Wait();
+}
+
+void Server::look() {
+    streams_->publish(snapshotOf(view_()));
+    for (const auto& [name, count] : streams_->takeCounts()) counters_.add(name, count);
+    look_.start(limits_.xdsLookMs);
+}
+
+}  // namespace martencove::xds
--- a/tests/program/world.cpp
+++ b/tests/program/world.cpp
@@ -31,10 +31,11 @@
     return text.str();
 }
 
-pid_t spawn(const std::string& folder, const Json& config, const Json& nbd, const Json& etcd) {
+pid_t spawn(const std::string& folder, const Json& config, const Json& nbd, const Json& etcd,
+            const Json& xds) {
     std::ofstream(folder + "/config.json") << config;
     std::vector<std::string> words{"martencove"};
-    for (const auto& [name, file] : {std::pair("nbd", nbd), std::pair("etcd", etcd)}) {
+    for (const auto& [name, file] : {std::pair("nbd", nbd), std::pair("etcd", etcd), std::pair("xds", xds)}) {
         if (file.is_null()) continue;
         words.insert(words.end(), {std::string("--") + name, folder + '/' + name});
         std::ofstream(words.back()) << file;
@@ -212,7 +213,7 @@
 }
 
 void World::start() {
-    pid_ = spawn(folder_, config, nbd, etcd);
+    pid_ = spawn(folder_, config, nbd, etcd, xds);
     std::unique_ptr<Wire> health;
     const bool up = until([&] {
         if (!health || health->closed) {
@@ -299,7 +300,7 @@
 std::pair<int, std::string> runOnce(const Json& config, const Json& nbd, const Json& etcd) {
     const std::string folder = newFolder();
     int status = 0;
-    waitpid(spawn(folder, config, nbd, etcd), &status, 0);
+    waitpid(spawn(folder, config, nbd, etcd, {}), &status, 0);
     const std::string log = contents(folder + "/log");
     std::filesystem::remove_all(folder);
     return {WIFEXITED(status) ? WEXITSTATUS(status) : -1, log};
--- a/tests/program/world.h
+++ b/tests/program/world.h
@@ -108,7 +108,7 @@
         event_base* get() const { return at; }
     } base;
     Json config;
-    Json nbd, etcd;  ///< the operator's files; null: not named
+    Json nbd, etcd, xds;  ///< the operator's files; null: not named
     Address listen, nbdListen, peerListen;
     std::string log;  ///< what the program wrote
     int watches = 0;  ///< calls that discovery got
--- /dev/null
+++ b/tests/program/xds_test.cpp
@@ -0,0 +1,107 @@
+// Endpoints over ADS: a stand-in proxy asks the program, started as a process, for a shard's nodes.
+#include <doctest/doctest.h>
+#include <grpcpp/grpcpp.h>
+
+#include "endpoint.pb.h"
+#include "world.h"
+#include "xds.grpc.pb.h"
+
+using namespace martencove::test;
+namespace discovery = envoy::service::discovery::v3;
+namespace endpoint = envoy::config::endpoint::v3;
+
+namespace {
+
+constexpr const char* kEndpoints = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment";
+
+/// A proxy with one stream. Its deadline only keeps a broken program from hanging the test.
+struct Proxy {
+    explicit Proxy(const martencove::Address& server)
+        : stub(discovery::AggregatedDiscoveryService::NewStub(
+              grpc::CreateChannel(server.text(), grpc::InsecureChannelCredentials()))) {
+        context.set_wait_for_ready(true);
+        context.set_deadline(std::chrono::system_clock::now() + std::chrono::seconds(30));
+        stream = stub->StreamAggregatedResources(&context);
+    }
+    ~Proxy() { context.TryCancel(); }
+    void ask(std::vector<std::string> names, const std::string& nonce = "", const std::string& error = "") {
+        discovery::DiscoveryRequest request;
+        request.set_type_url(kEndpoints);
+        request.set_response_nonce(nonce);
+        if (!error.empty()) request.mutable_error_detail()->set_message(error);
+        for (const std::string& name : names) request.add_resource_names(name);
+        REQUIRE(stream->Write(request));
+    }
+    discovery::DiscoveryResponse next() {
+        discovery::DiscoveryResponse response;
+        REQUIRE(stream->Read(&response));
+        CHECK(response.type_url() == kEndpoints);
+        return response;
+    }
+    static endpoint::ClusterLoadAssignment assignment(const discovery::DiscoveryResponse& response,
+                                                      int number) {
+        endpoint::ClusterLoadAssignment out;
+        REQUIRE(number < response.resources_size());
+        CHECK(out.ParseFromString(response.resources(number).value()));
+        return out;
+    }
+    std::unique_ptr<discovery::AggregatedDiscoveryService::Stub> stub;
+    grpc::ClientContext context;
+    std::unique_ptr<grpc::ClientReaderWriter<discovery::DiscoveryRequest, discovery::DiscoveryResponse>>
+        stream;
+};
+
+}  // namespace
+
+TEST_CASE("endpoints over ADS: what is chosen, what drains, what goes") {
+    World world;
+    const martencove::Address first = freeAddress(), second = freeAddress(), listen = freeAddress();
+    world.config["known"]["hosts"] = {world.entry("s-1", first, 5, "ready"),
+                                      world.entry("s-2", second, 5, "ready")};
+    world.xds = {{"listen", listen.text()}};
+    world.start();
+    Proxy proxy(listen);
+    proxy.ask({"shard-5", "shard-9"});
+    auto response = proxy.next();
+    REQUIRE(response.resources_size() == 2);
+    auto cluster = Proxy::assignment(response, 0);
+    CHECK(cluster.cluster_name() == "shard-5");
+    REQUIRE(cluster.endpoints(0).lb_endpoints_size() == 2);
+    int healthy = 0, degraded = 0;
+    martencove::Address chosen;
+    for (const auto& node : cluster.endpoints(0).lb_endpoints()) {
+        healthy += node.health_status() == endpoint::HEALTHY;
+        degraded += node.health_status() == endpoint::DEGRADED;
+        const auto& at = node.endpoint().address().socket_address();
+        if (node.health_status() == endpoint::HEALTHY)
+            chosen = {at.address(), static_cast<std::uint16_t>(at.port_value())};
+        CHECK(node.load_balancing_weight().value() >= 1);
+    }
+    CHECK(healthy == 1);  // the decisions send a shard's work to one node
+    CHECK(degraded == 1);
+    CHECK(Proxy::assignment(response, 1).endpoints_size() == 0);  // no such shard: no endpoints
+
+    // A proxy that could not use it, and one of an older answer, are not told the same again.
+    proxy.ask({"shard-5"}, response.nonce(), "cannot");
+    auto narrowed = proxy.next();
+    CHECK(narrowed.resources_size() == 1);
+    proxy.ask({"shard-7"}, response.nonce());
+
+    // The chosen node drains: the other one is chosen.
+    const std::string name = chosen == first ? "s-1" : "s-2";
+    REQUIRE(world.until([&] { return world.watches > 0; }));
+    world.tell(name, chosen, 5, "draining");
+    REQUIRE(world.until([&] { return world.counter("xds_response") == 3; }));
+    response = proxy.next();
+    CHECK(response.version_info() != narrowed.version_info());
+    cluster = Proxy::assignment(response, 0);
+    for (const auto& node : cluster.endpoints(0).lb_endpoints()) {
+        const bool drains = node.endpoint().address().socket_address().port_value() == chosen.port;
+        CHECK(node.health_status() == (drains ? endpoint::DRAINING : endpoint::HEALTHY));
+    }
+    world.tell(name, chosen, 5, "gone");
+    REQUIRE(world.until([&] { return world.counter("xds_response") == 4; }));
+    CHECK(Proxy::assignment(proxy.next(), 0).endpoints(0).lb_endpoints_size() == 1);
+    CHECK(world.counter("xds_nack") == 1);
+    CHECK(world.end() == 0);  // with a stream still open
+}
