Close no connection that still has bytes to read or write when idle ones are closed

Seen in review: HttpFront::closeIdle() took a connection without a request in work for idle, also where evhttp had not yet written the answer, or where a request had come that nobody had read. At a planned end that would lose a request that was taken. Checked: evhttp_send_reply() only fills the output buffer, the write comes with the loop's next turn. hasInput() now looks at both buffers and the socket; a later look closes the rest.

Also a test for NBD commands that are refused within the call that takes them.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -2,6 +2,7 @@
 
 #include <event2/listener.h>
 #include <fcntl.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -91,9 +92,8 @@
         watch_.reset();
         evhttp_request* request = std::exchange(request_, nullptr);
         if (request == nullptr) return nullptr;
-        for (auto& [connection, client] : front_.connections_) {
-            if (client.job == this) client.job = nullptr;
-        }
+        const auto at = front_.connections_.find(evhttp_request_get_connection(request));
+        if (at != front_.connections_.end()) at->second.job = nullptr;
         return request;
     }
 
@@ -123,6 +123,19 @@
     Owned<event> watch_;
 };
 
+namespace {
+
+/// Whether bytes have come that nobody has read: a request, perhaps, that a close would lose.
+bool hasInput(evhttp_connection* connection) {
+    bufferevent* socket = evhttp_connection_get_bufferevent(connection);
+    int waiting = 0;
+    return ioctl(bufferevent_getfd(socket), FIONREAD, &waiting) != 0 || waiting > 0 ||
+           evbuffer_get_length(bufferevent_get_input(socket)) > 0 ||
+           evbuffer_get_length(bufferevent_get_output(socket)) > 0;
+}
+
+}  // namespace
+
 HttpFront::HttpFront(event_base* base, const Address& listen, Desk& desk, NodePool& pool,
                      const limedrum::Site& site, const Limits& limits, BoundedLog& log)
     : base_(base),
@@ -155,7 +168,7 @@
 void HttpFront::closeIdle(std::size_t most, double idleMs) {
     std::vector<std::pair<double, evhttp_connection*>> idle;
     for (const auto& [connection, client] : connections_) {
-        if (client.job == nullptr && client.usedMs <= desk_.nowMs() - idleMs)
+        if (client.job == nullptr && client.usedMs <= desk_.nowMs() - idleMs && !hasInput(connection))
             idle.emplace_back(client.usedMs, connection);
     }
     std::sort(idle.begin(), idle.end());
--- a/tests/program/nbd_test.cpp
+++ b/tests/program/nbd_test.cpp
@@ -14,12 +14,13 @@
         const Json disk{
             {"name", "disk"}, {"bytes", kSize},       {"volume", "v"},          {"plan", "basic"},
             {"shard", 5},     {"read_class", "read"}, {"write_class", "write"}, {"read_deadline_ms", 3000}};
-        Json capped = disk, nowhere = disk;
+        Json capped = disk, nowhere = disk, atOnce = disk;
         capped.update({{"name", "capped"}, {"plan", "capped"}, {"volume", "w"}, {"read_only", true}});
         nowhere.update({{"name", "nowhere"}, {"shard", 9}, {"read_deadline_ms", 400}});
+        atOnce.update({{"name", "at once"}, {"read_deadline_ms", 1e-9}});
         world.nbd = {{"listen", world.nbdListen.text()},
                      {"unit_bytes", 512},
-                     {"exports", {disk, capped, nowhere}},
+                     {"exports", {disk, capped, nowhere, atOnce}},
                      {"nodes", {{"s-1", node.listener.address.text()}}}};
         world.start();
     }
@@ -118,6 +119,7 @@
     CHECK(t.option(wire, Option::list).data == encodeListed("disk"));
     CHECK(t.next(wire).data == encodeListed("capped"));
     CHECK(t.next(wire).data == encodeListed("nowhere"));
+    CHECK(t.next(wire).data == encodeListed("at once"));
     CHECK(t.next(wire).reply == OptionReply::ack);
     CHECK(t.option(wire, Option::info, encode(InfoRequest{"none", {}})).reply == OptionReply::unknown);
     CHECK(t.option(wire, Option::go, "short").reply == OptionReply::invalid);
@@ -164,6 +166,20 @@
     CHECK(t.node.commands.empty());
 }
 
+// Guards against taking a command's bytes twice where its answer comes within the call that takes it: such a
+// short deadline is over at once.
+TEST_CASE("commands that are refused at once are each answered once") {
+    Site t;
+    Wire& wire = t.ready("at once");
+    wire.send(encode(readOf(1, 0, 512)) + encode(readOf(2, 0, 512)) + encode(readOf(3, 0, 512)));
+    for (const std::uint64_t cookie : {1, 2, 3}) {
+        const ChunkMessage refused = t.reply(wire);
+        CHECK(refused.type == Chunk::error);
+        CHECK(refused.cookie == cookie);
+    }
+    CHECK(t.world.counter("request_taken") == 3);
+}
+
 // The plan's limit holds on this front as on the other: 4 units at once, 20 a second; 8 commands of 2 units
 // take over half a second of it.
 TEST_CASE("a plan's limit holds for NBD, and what it does not cover in time is refused") {
