Read the configuration anew at SIGHUP and move the watch to the new discovery

Checked: no handler for SIGHUP in src/main.cpp, so its default action ended the process; the environment's NODE_DISCOVERY went before the file (told() in src/config/config.cpp), so even a new read would have kept the old address; the log has no other end. Now: the file is read again and goes before the variables; the watch moves and asks for the whole list, since versions need not be the old address's; peers move too; fields that a running program cannot take over are named in the log; an unreadable file leaves all as it was. Test: fails on the program before (ended by the signal).

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -23,10 +23,13 @@
     if (!parsed) complain(name, "not an address: '" + text + "'");
     return *parsed;
 }
-/// A variable where it is set, else the file's value.
-std::string told(const Json& json, const char* var, const char* field) {
+enum class First { variables, file };
+
+/// Of a variable and the file's value the one that goes first, else the other.
+std::string told(const Json& json, First first, const char* var, const char* field) {
     const std::string value = variable(var);
-    return value.empty() ? text(need(json, field), field) : value;
+    const bool inFile = find(json, field) != nullptr;
+    return value.empty() || (first == First::file && inFile) ? text(need(json, field), field) : value;
 }
 
 std::uint64_t seedOf(const std::string& hex) {
@@ -47,11 +50,11 @@
     return static_cast<std::size_t>(value);
 }
 
-Config decode(const Json& json) {
+Config decode(const Json& json, First first) {
     Config out;
-    out.name = told(json, "NODE_NAME", "name");
-    out.listen = address(told(json, "NODE_LISTEN", "listen"), "listen");
-    out.discovery = address(told(json, "NODE_DISCOVERY", "discovery"), "discovery");
+    out.name = told(json, first, "NODE_NAME", "name");
+    out.listen = address(told(json, first, "NODE_LISTEN", "listen"), "listen");
+    out.discovery = address(told(json, first, "NODE_DISCOVERY", "discovery"), "discovery");
     out.seed = seedOf(text(need(json, "seed"), "seed"));
     if (const Json* listen = find(json, "peer_listen")) {
         out.peerListen = address(text(*listen, "peer_listen"), "peer_listen");
@@ -78,9 +81,22 @@
     double longestMs = 0;
     for (const auto& c : out.site.module.classes) longestMs = std::max(longestMs, c.deadlineMs);
     limits.drainMostMs = std::max(longestMs, 3000.0) + 550;
+    for (const char* field : {"name", "listen", "limits", "peer_listen", "settings"}) {
+        if (const Json* value = find(json, field)) out.fixed[field] = value->dump();
+    }
     return out;
 }
 
+Config read(First first) {
+    const std::string path = variable("NODE_CONFIG");
+    if (path.empty()) throw ConfigError("NODE_CONFIG: not set");
+    try {
+        return decode(readJsonFile(path, "NODE_CONFIG"), first);
+    } catch (const FieldError& error) {
+        throw ConfigError(error.what());
+    }
+}
+
 }  // namespace
 
 Json readJsonFile(const std::string& path, const char* name) {
@@ -93,14 +109,7 @@
     return json;
 }
 
-Config readConfig() {
-    const std::string path = variable("NODE_CONFIG");
-    if (path.empty()) throw ConfigError("NODE_CONFIG: not set");
-    try {
-        return decode(readJsonFile(path, "NODE_CONFIG"));
-    } catch (const FieldError& error) {
-        throw ConfigError(error.what());
-    }
-}
+Config readConfig() { return read(First::variables); }
+Config readConfigAgain() { return read(First::file); }
 
 }  // namespace martencove
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <map>
 #include <nlohmann/json_fwd.hpp>
 #include <optional>
 #include <stdexcept>
@@ -31,12 +32,16 @@
     NodeList known;
     limedrum::Site site;
     Limits limits;
+    /// What a running program cannot take over, as text by field: a change waits for the next start.
+    std::map<std::string, std::string> fixed;
 };
 
 /// Throws limedrum::fields::FieldError, beginning with `name`.
 [[nodiscard]] nlohmann::json readJsonFile(const std::string& path, const char* name);
 
-/// Reads `NODE_CONFIG` and the variables beside it, which go before the file's values.
+/// Reads `NODE_CONFIG` and the variables beside it, which go before the file's values. Throws ConfigError.
 [[nodiscard]] Config readConfig();
+/// Reads the file again. It is newer than the variables beside it: its values go first.
+[[nodiscard]] Config readConfigAgain();
 
 }  // namespace martencove
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -48,6 +48,7 @@
           front_(base_.get(), config_.listen, desk_, pool_, config_.site, config_.limits, log_),
           term_(base_.get(), SIGTERM, [this] { drain(); }),
           interrupt_(base_.get(), SIGINT, [this] { drain(); }),
+          hangup_(base_.get(), SIGHUP, [this] { reload(); }),
           usr1_(base_.get(), SIGUSR1, [this] { printCounters(); }),
           end_(base_.get(), [this] { endSoon(); }) {
         if (config_.peerListen)
@@ -92,6 +93,25 @@
                 [](const std::string& note) { spdlog::info("module: {}", note); }};
     }
 
+    // Requests go on meanwhile: what a running program can take over is put in its place, nothing else moves.
+    void reload() {
+        try {
+            const Config next = readConfigAgain();
+            counters_.add("config_read");
+            spdlog::info("configuration read: discovery at {}", next.discovery.text());
+            for (const auto& [field, value] : config_.fixed) {
+                const auto now = next.fixed.find(field);
+                if (now == next.fixed.end() || now->second != value)
+                    spdlog::warn("configuration: {} differs, which waits for the next start", field);
+            }
+            if (discovery_) discovery_->moveTo(next.discovery);
+            if (peers_) peers_->reach(next.peers);
+        } catch (const std::exception& error) {
+            counters_.add("config_bad");
+            log_.warn("configuration", std::string("not taken, the old one stands: ") + error.what());
+        }
+    }
+
     // New connections still come for a while, and what was taken is finished.
     void drain() {
         if (drainedMs_) return;
@@ -141,6 +161,7 @@
 #endif
     SignalWatch term_;
     SignalWatch interrupt_;
+    SignalWatch hangup_;
     SignalWatch usr1_;
     Timer end_;
     std::optional<double> drainedMs_;
@@ -177,6 +198,7 @@
 
 int main(int argc, char** argv) {
     std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);  // until there is a configuration to read anew
     try {
         martencove::Config config = martencove::readConfig();
         martencove::Extras extras = martencove::readExtras(argc, argv, config.site);
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -26,6 +26,15 @@
     next_.start(0);
 }
 
+void Discovery::moveTo(Address address) {
+    if (address == address_) return;
+    address_ = std::move(address);
+    wantsWhole_ = true;
+    silence_.stop();
+    connection_.reset();  // and with it the call that waits there
+    next_.start(0);
+}
+
 void Discovery::call() {
     if (!connection_) {
         connection_.reset(evhttp_connection_base_new(base_, nullptr, address_.host.c_str(), address_.port));
@@ -36,8 +45,9 @@
     }
     evhttp_request* request = evhttp_request_new(answered, this);
     evhttp_add_header(evhttp_request_get_output_headers(request), "Host", address_.text().c_str());
-    const std::string path = "/v1/servers?after=" + std::to_string(version_) +
-                             "&wait_ms=" + std::to_string(std::lround(limits_.watchWaitMs));
+    const std::string watch =
+        "?after=" + std::to_string(version_) + "&wait_ms=" + std::to_string(std::lround(limits_.watchWaitMs));
+    const std::string path = "/v1/servers" + (wantsWhole_ ? "" : watch);
     counters_.add("discovery_call");
     silence_.start(limits_.watchWaitMs + limits_.watchGraceMs);
     if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0) again();
@@ -65,6 +75,7 @@
     try {
         const NodeList list = decodeNodeList(text);
         counters_.add("discovery_list");
+        if (list.whole) wantsWhole_ = false;
         if (list.version < version_ && !list.whole) return;
         version_ = list.version;
         if (list.whole || !list.nodes.empty()) told_(list);
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -19,6 +19,9 @@
     Discovery(const Discovery&) = delete;
     Discovery& operator=(const Discovery&) = delete;
 
+    /// Goes on at another address, from its whole list: its versions need not be the old one's.
+    void moveTo(Address address);
+
 private:
     static void answered(evhttp_request* request, void* self);
     void call();
@@ -29,6 +32,7 @@
     event_base* base_;
     Address address_;
     std::int64_t version_;
+    bool wantsWhole_ = false;
     const Limits& limits_;
     Counters& counters_;
     BoundedLog& log_;
--- a/src/net/peers.h
+++ b/src/net/peers.h
@@ -23,6 +23,8 @@
     Peers& operator=(const Peers&) = delete;
 
     void tell(const PeerMessage& message);
+    /// Their addresses from now on.
+    void reach(std::vector<Address> peers) { peers_ = std::move(peers); }
 
 private:
     static void readable(evutil_socket_t, short, void* self);
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -189,6 +189,45 @@
     CHECK(t.world.log.find("ended: 0 requests open") != std::string::npos);
 }
 
+// Guards against an end by SIGHUP, a watch that stays at the old address, and requests lost on the way.
+TEST_CASE("SIGHUP: discovery moves, an unreadable file leaves all as it was, what was taken is served") {
+    Wire* held = nullptr;
+    OneNode t([&](Wire& wire, const HttpText&) { held = &wire; });
+    Wire& before = t.world.connect();
+    before.send(t.world.request("0000000000000001"));
+    REQUIRE(t.world.until([&] { return held != nullptr; }));
+
+    t.world.rewrite("{\"listen\":");
+    t.world.signal(SIGHUP);
+    REQUIRE(t.world.until([&] { return t.world.counter("config_bad") == 1; }));
+    CHECK(t.world.log.find("not taken, the old one stands") != std::string::npos);
+
+    HttpNode second(t.world.base.get(), serve);
+    std::string asked;
+    Listener moved(t.world.base.get(), [&](Wire& wire) {
+        const auto call = takeHttp(wire.got);
+        if (!call || !asked.empty()) return;
+        asked = call->line();
+        const Json hosts = {t.world.entry("s-2", second.listener.address, 5, "ready")};
+        // Its versions are its own: lower ones than the old address told.
+        wire.send(httpReply(200, Json{{"seq", 0}, {"whole", true}, {"hosts", hosts}}.dump()));
+    });
+    t.world.config["discovery"] = moved.address.text();
+    t.world.config["limits"]["sockets"] = 512;
+    t.world.rewrite();
+    t.world.signal(SIGHUP);
+    REQUIRE(t.world.until([&] { return t.world.counter("discovery_list") == 1; }));
+    CHECK(asked == "GET /v1/servers HTTP/1.1");
+    CHECK(t.world.log.find("limits differs") != std::string::npos);
+    CHECK(t.world.ask(t.world.request("0000000000000002")).body == "made for 0000000000000002:");
+
+    held->send(httpReply(200, "from before"));
+    std::optional<HttpText> answer;
+    REQUIRE(t.world.until([&] { return (answer = takeHttp(before.got)).has_value(); }));
+    CHECK(answer->body == "from before");
+    CHECK(t.world.end() == 0);
+}
+
 // Guards against idle clients that lock others out at the bound on descriptors.
 TEST_CASE("at the bound idle connections make room for new ones") {
     World world;
--- a/tests/program/world.cpp
+++ b/tests/program/world.cpp
@@ -49,6 +49,7 @@
     dup2(out, 1);
     dup2(out, 2);
     setenv("NODE_CONFIG", (folder + "/config.json").c_str(), 1);
+    if (config.is_object()) setenv("NODE_DISCOVERY", config.at("discovery").get<std::string>().c_str(), 1);
     execv(MARTENCOVE_PROGRAM, argv.data());
     _exit(127);
 }
@@ -226,6 +227,8 @@
         throw std::runtime_error("the program does not start: " + contents(folder_ + "/log"));
 }
 
+void World::rewrite(const std::string& text) const { std::ofstream(folder_ + "/config.json") << text; }
+
 bool World::until(const std::function<bool()>& holds, double mostMs) {
     const auto start = std::chrono::steady_clock::now();
     while (!holds()) {
--- a/tests/program/world.h
+++ b/tests/program/world.h
@@ -86,6 +86,9 @@
     /// Lets the program end; its exit code.
     [[nodiscard]] int end(int signal = SIGTERM);
     [[nodiscard]] bool running();
+    /// Writes the configuration anew, for SIGHUP: `config` as it is now, or any text.
+    void rewrite() const { rewrite(config.dump()); }
+    void rewrite(const std::string& text) const;
     void signal(int number) const { kill(pid_, number); }
 
     /// Tells of a node; `health` "gone" removes it.
