Read nodes' answers strictly and drop connections with bytes that belong to none

Checked with hand-written answers against the program before (tests/program/spoilt_test.cpp): evhttp's client takes '200abc', two Content-Lengths, a length beside chunked and an answer without a length; takes 103 for the final answer; and leaves bytes behind an answer in its buffer, where they become the next request's answer (src/http/node_pool.cpp, answered(): keep without a look at the input buffer). Ruled out: chunk sizes and negative lengths, which it does refuse. Now: src/http/answer reads what a node sends, bad at the first byte out of place; src/net/link holds what both wires share of a connection (it replaces the two pools' doubles) and gives up one on which bytes come that belong to no answer, resting ones too; it rests 3 ms after an answer, since such bytes may come a moment later. A spoilt answer is an attempt that may have run, from a node that runs (Ending::spoilt). NBD: the same, it drained such bytes before.

--- a/src/core/desk.cpp
+++ b/src/core/desk.cpp
@@ -8,8 +8,9 @@
 
 const char* nameOf(Ending ending) {
     static constexpr const char* kNames[kEndings] = {
-        "attempt_served",        "attempt_error",  "attempt_turned_away", "attempt_timed_out",
-        "attempt_not_connected", "attempt_broken", "attempt_cancelled",   "attempt_not_sent"};
+        "attempt_served",    "attempt_error",         "attempt_turned_away",
+        "attempt_timed_out", "attempt_not_connected", "attempt_broken",
+        "attempt_cancelled", "attempt_not_sent",      "attempt_spoilt"};
     return kNames[static_cast<int>(ending)];
 }
 const char* nameOf(Verdict verdict) {
--- a/src/core/facade.cpp
+++ b/src/core/facade.cpp
@@ -22,6 +22,7 @@
         case Ending::served:
             return limedrum::Outcome::done;
         case Ending::error:
+        case Ending::spoilt:
             return limedrum::Outcome::error;
         case Ending::turnedAway:
             return limedrum::Outcome::full;
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -31,6 +31,7 @@
     // Times, in ms.
     double dialMs = 250;
     double nodeIdleMs = 15000;     // a node closes a connection idle for this long
+    double nodeRestMs = 3;         // after an answer, before the next request on its connection
     double idlePart = 0.6;         // of it: an idle connection is retired
     double clientIdleMs = 120000;  // a client's connection
     double crowdedIdleMs = 1000;   // and at the bound, one that may make room
--- a/src/core/values.h
+++ b/src/core/values.h
@@ -36,8 +36,9 @@
     int number = 0;
 };
 
-enum class Ending { served, error, turnedAway, timedOut, notConnected, broken, cancelled, notSent };
-inline constexpr int kEndings = 8;
+/// `spoilt`: what came back was no answer to it; like an error, it shows a node that runs.
+enum class Ending { served, error, turnedAway, timedOut, notConnected, broken, cancelled, notSent, spoilt };
+inline constexpr int kEndings = 9;
 
 /// How an attempt ended.
 struct Outcome {
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -39,10 +39,10 @@
                                      std::to_string(std::max(1L, std::lround(attempt.timeoutMs))));
         const int number = attempt.number;
         const auto address = parseAddress(node.dial);
-        auto exchange = !address ? nullptr
-                                 : front_.pool_.send(
-                                       *address, request, attempt.timeoutMs,
-                                       [this, number](NodeReply reply) { ended(number, std::move(reply)); });
+        auto exchange =
+            !address ? nullptr
+                     : front_.pool_.send(*address, request, attempt.timeoutMs,
+                                         [this, number](Reply reply) { ended(number, std::move(reply)); });
         if (!exchange) return front_.desk_.over(id(), number, Ending::notConnected);
         exchanges_[number] = std::move(exchange);
     }
@@ -80,7 +80,7 @@
     }
 
 private:
-    void ended(int attempt, NodeReply reply) {
+    void ended(int attempt, Reply reply) {
         const Ending ending = reply.ending;
         if (ending == Ending::served && reply_.ending != Ending::served) reply_ = std::move(reply);
         exchanges_.erase(attempt);
@@ -118,8 +118,8 @@
     HttpFront& front_;
     evhttp_request* request_;  // null: answered, or the client is gone
     HttpMessage message_;
-    NodeReply reply_;
-    std::map<int, std::unique_ptr<Exchange>> exchanges_;  // by attempt
+    Reply reply_;
+    std::map<int, std::unique_ptr<Exchange<NodeLink>>> exchanges_;  // by attempt
     Owned<event> watch_;
 };
 
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -6,7 +6,7 @@
 
 #include "core/desk.h"
 #include "http/message.h"
-#include "http/node_pool.h"
+#include "http/node_link.h"
 #include "net/address.h"
 #include "net/log.h"
 #include "net/loop.h"
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -230,12 +230,12 @@
     void send(const Attempt& attempt, const NodeEntry& node) override {
         const int number = attempt.number;
         const auto at = front_.config_.nodes.find(node.name);
-        std::unique_ptr<Exchange> exchange;
+        std::unique_ptr<Exchange<NodeLink>> exchange;
         if (at != front_.config_.nodes.end()) {
             const Work work{export_.name, command_.command == Command::write, command_.offset,
                             command_.length, command_.data};
             exchange = front_.pool_.send(at->second, work, attempt.timeoutMs,
-                                         [this, number](Result result) { ended(number, std::move(result)); });
+                                         [this, number](Reply reply) { ended(number, std::move(reply)); });
         }
         if (!exchange) return front_.desk_.over(RequestId(id_), number, Ending::notConnected);
         exchanges_[number] = std::move(exchange);
@@ -250,7 +250,7 @@
         const bool read = command_.command == Command::read;
         switch (answer.verdict) {
             case Verdict::served:
-                session->answer(command_.cookie, Error::none, "", command_.offset, read ? result_.data : "");
+                session->answer(command_.cookie, Error::none, "", command_.offset, read ? reply_.body : "");
                 break;
             case Verdict::refused:
                 session->answer(command_.cookie, Error::noMemory, refusalText(answer.retryAfterMs), 0, "");
@@ -263,9 +263,9 @@
     }
 
 private:
-    void ended(int attempt, Result result) {
-        const Ending ending = result.ending;
-        if (ending == Ending::served && result_.ending != Ending::served) result_ = std::move(result);
+    void ended(int attempt, Reply reply) {
+        const Ending ending = reply.ending;
+        if (ending == Ending::served && reply_.ending != Ending::served) reply_ = std::move(reply);
         exchanges_.erase(attempt);
         front_.desk_.over(RequestId(id_), attempt, ending);
     }
@@ -275,8 +275,8 @@
     RequestId id_;
     const NbdExport& export_;
     CommandMessage command_;
-    Result result_;
-    std::map<int, std::unique_ptr<Exchange>> exchanges_;  // by attempt
+    Reply reply_;
+    std::map<int, std::unique_ptr<Exchange<NodeLink>>> exchanges_;  // by attempt
 };
 
 void Session::answer(std::uint64_t cookie, Error error, const std::string& text, std::uint64_t offset,
--- a/src/nbd/front.h
+++ b/src/nbd/front.h
@@ -6,7 +6,7 @@
 
 #include "config/nbd_config.h"
 #include "core/desk.h"
-#include "nbd/node_pool.h"
+#include "nbd/node_link.h"
 #include "net/log.h"
 #include "net/loop.h"
 
--- /dev/null
+++ b/src/net/link.h
@@ -0,0 +1,78 @@
+// A connection to a storage node that carries one piece of work at a time: dialling, time-outs, what was
+// written and what came. The wires derive from it.
+#pragma once
+
+#include <functional>
+#include <string>
+#include <string_view>
+
+#include "core/counters.h"
+#include "core/limits.h"
+#include "core/values.h"
+#include "net/address.h"
+#include "net/loop.h"
+
+namespace martencove {
+
+/// What came of work at a node.
+struct Reply {
+    Ending ending = Ending::broken;
+    std::string body;         ///< of an answer that was served
+    std::string contentType;  ///< empty: not told
+};
+
+class Link {
+public:
+    using Over = std::function<void(Link&, Reply, bool keep)>;
+
+    Link(event_base* base, Address node, const Limits& limits, Counters& counters);
+    virtual ~Link();
+    Link(const Link&) = delete;
+    Link& operator=(const Link&) = delete;
+
+    [[nodiscard]] const Address& node() const { return node_; }
+    /// Whether it can take work: it is up, and no bytes have come that belong to no answer.
+    [[nodiscard]] bool usable();
+    [[nodiscard]] bool closed() const { return closed_; }
+    /// Gives up what is in work and says nothing any more.
+    void stop();
+
+protected:
+    /// Begins the time-outs of new work, and dials where it is not up. `over` is called once, from the loop.
+    void begin(double timeoutMs, Over over);
+    /// Takes off the front of `in` what belongs to the work, and settles it when it is over.
+    virtual void arrived(std::string_view& in) = 0;
+    void write(const std::string& bytes);
+    /// The same with the last of the work's bytes: once they are written, it may run.
+    void writeLast(const std::string& bytes);
+    /// The work is over; told once arrived() has returned.
+    void settle(Reply reply, bool keep);
+    /// What the other side sent makes no sense: the connection is of no use any more.
+    void spoil();
+
+    const Limits& limits_;
+    Counters& counters_;
+
+private:
+    static void readable(bufferevent*, void* self) { static_cast<Link*>(self)->read(); }
+    static void happened(bufferevent*, short what, void* self);
+    static void moved(evbuffer* buffer, const evbuffer_cb_info* info, void* self);
+    void read();
+    void fail(Ending afterwards);
+    void finish();
+
+    Address node_;
+    Owned<bufferevent> socket_;
+    Timer dial_;
+    Timer timeout_;
+    Over over_;  // null: nothing in work
+    Reply reply_;
+    bool settled_ = false;
+    bool keep_ = false;
+    bool dialled_ = false;
+    bool closed_ = false;
+    bool sent_ = false;     // the work's last byte was handed to the socket
+    bool written_ = false;  // and has left it
+};
+
+}  // namespace martencove
--- /dev/null
+++ b/src/net/link_pool.h
@@ -0,0 +1,135 @@
+// Connections to storage nodes that are kept and used again, for any wire. A `Wire` is a Link with a type
+// Work, a name for its counter, fits() and start().
+#pragma once
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+#include <vector>
+
+#include "core/clock.h"
+#include "net/link.h"
+
+namespace martencove {
+
+template <typename Wire>
+class LinkPool;
+
+/// Work on its way. Letting go of it gives it up and closes its connection.
+template <typename Wire>
+class Exchange {
+public:
+    Exchange(std::unique_ptr<Wire> link, LinkPool<Wire>& pool) : link_(std::move(link)), pool_(pool) {}
+    ~Exchange() {
+        if (link_) pool_.discard(std::move(link_));
+    }
+    Exchange(const Exchange&) = delete;
+    Exchange& operator=(const Exchange&) = delete;
+
+private:
+    friend class LinkPool<Wire>;
+    std::unique_ptr<Wire> link_;
+    LinkPool<Wire>& pool_;
+};
+
+template <typename Wire>
+class LinkPool {
+public:
+    using Done = std::function<void(Reply)>;
+
+    LinkPool(event_base* base, const Clock& clock, const Limits& limits, Counters& counters)
+        : base_(base),
+          clock_(clock),
+          limits_(limits),
+          counters_(counters),
+          sweep_(base, [this] { sweep(); }),
+          empty_(base, [this] { waste_.clear(); }) {
+        sweep_.start(limits_.sweepMs);
+    }
+    LinkPool(const LinkPool&) = delete;
+    LinkPool& operator=(const LinkPool&) = delete;
+
+    /// `done` is called once, from the loop, unless the exchange is let go first. It may let go of it itself.
+    /// Nothing where no more connections are allowed.
+    [[nodiscard]] std::unique_ptr<Exchange<Wire>> send(const Address& node, const typename Wire::Work& work,
+                                                       double timeoutMs, Done done) {
+        std::unique_ptr<Wire> link = idleFor(node, work);
+        if (!link) {
+            if (links_ >= limits_.nodeConnections) giveWay();
+            if (links_ >= limits_.nodeConnections) return nullptr;
+            ++links_;
+            counters_.add(Wire::kOpened);
+            link = std::make_unique<Wire>(base_, node, work, limits_, counters_);
+        }
+        Wire& started = *link;
+        auto exchange = std::make_unique<Exchange<Wire>>(std::move(link), *this);
+        started.start(work, timeoutMs,
+                      [this, out = exchange.get(), done = std::move(done)](Link&, Reply reply, bool keep) {
+                          take(std::move(out->link_), keep);
+                          done(std::move(reply));
+                      });
+        return exchange;
+    }
+
+private:
+    friend class Exchange<Wire>;
+    struct Idle {
+        std::unique_ptr<Wire> link;
+        double sinceMs = 0;
+    };
+
+    // The one used last, so that the others may fall idle and be retired; but not at once: what a node sends
+    // behind an answer may come a moment after it.
+    std::unique_ptr<Wire> idleFor(const Address& node, const typename Wire::Work& work) {
+        const double rested = clock_.nowMs() - limits_.nodeRestMs;
+        for (auto at = idle_.rbegin(); at != idle_.rend(); ++at) {
+            if (at->sinceMs > rested || !at->link->fits(node, work) || !at->link->usable()) continue;
+            std::unique_ptr<Wire> link = std::move(at->link);
+            idle_.erase(std::next(at).base());
+            return link;
+        }
+        return nullptr;
+    }
+
+    void take(std::unique_ptr<Wire> link, bool keep) {
+        if (!keep) return discard(std::move(link));
+        idle_.push_back({std::move(link), clock_.nowMs()});
+    }
+
+    // Gives the connection up. It is closed from the loop's next turn, since this may be its own callback.
+    void discard(std::unique_ptr<Wire> link) {
+        link->stop();
+        --links_;
+        waste_.push_back(std::move(link));
+        empty_.start(0);
+    }
+
+    // At the bound the connection that has been idle longest goes.
+    void giveWay() {
+        if (idle_.empty()) return;
+        discard(std::move(idle_.front().link));
+        idle_.erase(idle_.begin());
+    }
+
+    // The nodes close idle connections; one that is used just then would end as broken.
+    void sweep() {
+        const double before = clock_.nowMs() - limits_.nodeIdleMs * limits_.idlePart;
+        for (Idle& idle : idle_) {
+            if (idle.link->closed() || idle.sinceMs < before) discard(std::move(idle.link));
+        }
+        std::erase_if(idle_, [](const Idle& idle) { return !idle.link; });
+        sweep_.start(limits_.sweepMs);
+    }
+
+    event_base* base_;
+    const Clock& clock_;
+    const Limits& limits_;
+    Counters& counters_;
+    std::vector<Idle> idle_;                    // longest idle first
+    std::vector<std::unique_ptr<Wire>> waste_;  // freed from the loop, never from their own callbacks
+    std::size_t links_ = 0;
+    Timer sweep_;
+    Timer empty_;
+};
+
+}  // namespace martencove
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -29,6 +29,7 @@
     const HttpText read = t.world.ask(t.world.request("0000000000000001"));
     CHECK(read.code() == 200);
     CHECK(read.body == "made for 0000000000000001:");
+    t.world.rest();
     CHECK(t.world.ask(t.world.request("0000000000000002", "", 5000, "new text")).body ==
           "made for 0000000000000002:new text");
     REQUIRE(t.node.requests.size() == 2);
--- a/tests/program/nbd_test.cpp
+++ b/tests/program/nbd_test.cpp
@@ -147,6 +147,7 @@
     std::string expected = pattern(1024, 3000);
     expected.replace(1000, 1000, 1000, '\0');
     CHECK(read.payload == encodeData(1024, expected));
+    t.world.rest();
     CHECK(t.ask(wire, writeOf(8, 0, "text")).type == Chunk::none);
     CHECK(t.node.commands.back().data == "text");
     CHECK(t.node.listener.wires.size() == 1);
@@ -219,6 +220,21 @@
     CHECK(t.ask(t.ready(), readOf(1, 0, 512)).type == Chunk::data);
     CHECK(t.world.counter("attempt_error") == 1);
     CHECK(t.world.counter("nbd_node_bad") == 1);
+    CHECK(t.world.counter("attempt_spoilt") == 1);
+}
+
+// Guards against a later command being answered with what came behind an earlier one's reply.
+TEST_CASE("bytes behind a node's reply: it stands, and the connection is not used again") {
+    Site t([&](Wire& wire, const CommandMessage& c) {
+        inChunks(wire, c);
+        wire.send("more");
+    });
+    Wire& wire = t.ready();
+    CHECK(t.ask(wire, readOf(1, 0, 512)).type == Chunk::data);
+    t.world.rest();
+    CHECK(t.ask(wire, readOf(2, 0, 512)).type == Chunk::data);
+    CHECK(t.node.listener.wires.size() == 2);
+    CHECK(t.world.counter("attempt_served") == 2);
 }
 
 // Hard case: a reply of many chunks when the client gives up halfway.
--- /dev/null
+++ b/tests/program/spoilt_test.cpp
@@ -0,0 +1,124 @@
+// What nodes send that is spoilt, or more than belongs to their answer: the program between HTTP clients and
+// nodes whose bytes are written out by hand.
+#include <doctest/doctest.h>
+
+#include "world.h"
+
+using namespace martencove::test;
+
+namespace {
+
+/// A node whose first request on each of its first connections gets `bytes`; all others are served.
+struct Spoiling {
+    explicit Spoiling(std::string first, int connections = 1)
+        : bytes(std::move(first)),
+          left(connections),
+          node(world.base.get(), [this](Wire& w, const HttpText& r) {
+              if (left > 0 && seen.insert(&w).second) {
+                  --left;
+                  return w.send(bytes);
+              }
+              serve(w, r);
+          }) {
+        world.config["known"]["hosts"].push_back(world.entry("s-1", node.listener.address, 5, "ready"));
+        world.start();
+    }
+    [[nodiscard]] std::size_t connections() const { return node.listener.wires.size(); }
+
+    std::string bytes;
+    int left;
+    std::set<Wire*> seen;
+    World world;
+    HttpNode node;
+};
+
+const std::string kGood = httpReply(200, "the answer");
+
+}  // namespace
+
+// Guards against serving what no node made: each of these was once taken for an answer, or kept the
+// connection in use. The request has run as far as anyone can tell, and a read goes out again, on another
+// connection.
+TEST_CASE("a spoilt answer is an attempt that may have run, and its connection is not used again") {
+    const std::string ok = "HTTP/1.1 200 OK\r\n";
+    for (const std::string& bytes : std::vector<std::string>{
+             "\x16\x03\x01 noise \xff\xfe\r\n\r\n",
+             "HTTP/1.1 2000 OK\r\nContent-Length: 1\r\n\r\nx",
+             "HTTP/1.1 200abc\r\nContent-Length: 1\r\n\r\nx",
+             "HTTP/9.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+             "HTTP/1.1 200 OK\r\nno colon here\r\nContent-Length: 1\r\n\r\nx",
+             ok + "Content-Length: 1x\r\n\r\nx",
+             ok + "Content-Length: +1\r\n\r\nx",
+             ok + "Content-Length: -1\r\n\r\nx",
+             ok + "Content-Length: 1\r\nContent-Length: 2\r\n\r\nxy",
+             ok + "Content-Length : 1\r\n\r\nx",
+             ok + "Content-Length: 3000000000\r\n\r\n" + std::string(100000, 'x'),
+             ok + "Content-Length: 99999999999999999999999\r\n\r\nx",
+             ok + "Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n",
+             ok + "Transfer-Encoding: gzip\r\n\r\nx",
+             ok + "Transfer-Encoding: chunked\r\n\r\nzz\r\nx\r\n0\r\n\r\n",
+             ok + "Transfer-Encoding: chunked\r\n\r\n1\r\nxy0\r\n\r\n",
+             ok + "Transfer-Encoding: chunked\r\n\r\nffffffff\r\nx",
+             ok + "\r\nwithout a length",
+             ok + "X: " + std::string(20000, 'x'),
+             "HTTP/1.1 101 Switching\r\n\r\n" + kGood,
+         }) {
+        CAPTURE(bytes.substr(0, 80));
+        Spoiling t(bytes);
+        CHECK(t.world.ask(t.world.request("0000000000000001")).body == "made for 0000000000000001:");
+        CHECK(t.connections() == 2);
+        CHECK(t.world.counter("attempt_spoilt") == 1);
+        CHECK(t.world.counter("attempt_served") == 1);
+    }
+}
+
+// Guards against the next request on a connection being served with what came behind the last one's answer.
+TEST_CASE("bytes behind a good answer: it is served, and its connection is not used again") {
+    for (const std::string& bytes :
+         std::vector<std::string>{kGood + kGood, kGood + "noise", kGood + "\r\n"}) {
+        Spoiling t(bytes);
+        CHECK(t.world.ask(t.world.request("0000000000000001")).body == "the answer");
+        t.world.rest();
+        CHECK(t.world.ask(t.world.request("0000000000000002")).body == "made for 0000000000000002:");
+        CHECK(t.connections() == 2);
+        CHECK(t.world.counter("attempt_served") == 2);
+    }
+}
+
+// The same where they come a moment later, while the connection rests.
+TEST_CASE("bytes on a resting connection end it") {
+    Spoiling t(kGood);
+    CHECK(t.world.ask(t.world.request("0000000000000001")).body == "the answer");
+    t.node.listener.wires.front().send(kGood);
+    REQUIRE(t.world.until([&] { return t.node.listener.wires.front().closed; }));
+    CHECK(t.world.ask(t.world.request("0000000000000002")).body == "made for 0000000000000002:");
+    CHECK(t.connections() == 2);
+}
+
+// Guards against 1xx answers being taken for the final one, and against a load report spoiling its answer.
+TEST_CASE("good answers with more than is needed are served as they are, on a connection that stays") {
+    const std::string chunked =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n4;x=y\r\nthe \r\n6\r\nanswer\r\n0\r\nT: "
+        "1\r\n\r\n";
+    for (const std::string& bytes : std::vector<std::string>{
+             "HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n" + kGood,
+             "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 102 Processing\r\n\r\n" + kGood,
+             httpReply(200, "the answer", "Srv-Load: {\"inflight\":\x01\xff nonsense\r\n"),
+             chunked,
+         }) {
+        CAPTURE(bytes.substr(0, 80));
+        Spoiling t(bytes);
+        CHECK(t.world.ask(t.world.request("0000000000000001")).body == "the answer");
+        t.world.rest();
+        CHECK(t.world.ask(t.world.request("0000000000000002")).code() == 200);
+        CHECK(t.connections() == 1);
+    }
+}
+
+// Guards against a second run of what may have run already, where no repeat is dropped any more.
+TEST_CASE("an answer that never becomes whole ends with the request, in one failure or refusal") {
+    Spoiling t("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nhalf", 9);
+    const HttpText answer = t.world.ask(t.world.request("0000000000000001", "", 400, "text"));
+    CHECK(answer.code() == 502);
+    CHECK(t.world.counter("answer_failed") == 1);
+}
--- a/tests/program/world.h
+++ b/tests/program/world.h
@@ -83,6 +83,10 @@
     void start();
     /// Runs the loop until it holds. The time-out only keeps a broken program from hanging the test.
     [[nodiscard]] bool until(const std::function<bool()>& holds, double mostMs = 20000);
+    /// Waits for longer than a node's connection rests after an answer.
+    void rest() {
+        (void)until([] { return false; }, 30);
+    }
     /// Lets the program end; its exit code.
     [[nodiscard]] int end(int signal = SIGTERM);
     [[nodiscard]] bool running();
