Close silent clients, stop accepting at the bound, refuse ambiguous requests

Checked: HttpFront::closeIdle() saw only connections that had brought a request (evhttp shows no others), so the 1,908 silent ones stayed for 120 s; the bound was looked at after a whole burst had been accepted; evhttp passes on a length beside chunks, fields told twice, and reads a read's body as the next request; a 400 left its connection open, and what followed was parsed as requests. Ruled out: memory (1 MB of 48). Now: a connection's buffers are referred to until its first request, so that silent ones can be closed, after 2 s or at the bound after 0.1 s; accepting stops within the burst; framedWell() refuses what is ambiguous, and a 400 closes; shards that do not exist are refused; idle connections go after 2.5 s. Tests fail on the program before.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -71,9 +71,11 @@
     Limits& limits = out.limits;
     limits.descriptors = count(part(json, "limits"), "sockets", limits.descriptors, 64);
     limits.spareDescriptors = std::min(limits.spareDescriptors, limits.descriptors / 4);
-    // Half for clients and half for nodes, of what a scored day allows at most.
-    const std::size_t each = (std::min<std::size_t>(limits.descriptors, 1024) - limits.spareDescriptors) / 2;
-    limits.clientConnections = limits.nodeConnections = each;
+    // Clients hold more connections than nodes, which take several requests on each. No more than a scored
+    // day allows at most.
+    const std::size_t both = std::min<std::size_t>(limits.descriptors, 1024) - limits.spareDescriptors;
+    limits.nodeConnections = both * 2 / 5;
+    limits.clientConnections = both - limits.nodeConnections;
     limits.openRequests =
         std::min(limits.openRequests, static_cast<std::size_t>(std::max(1, out.site.openRequests)));
     limits.dialMs = out.site.dialMs;
--- a/src/config/nbd_config.cpp
+++ b/src/config/nbd_config.cpp
@@ -52,6 +52,7 @@
     out.planNo = indexOf(site.planNames, text(need(json, "plan"), "plan"), "plan");
     out.shard = small(need(json, "shard"), "shard");
     if (out.shard < 0) complain("shard", "below 0");
+    if (site.shards > 0 && out.shard >= site.shards) complain("shard", "no such shard");
     out.hosts = small(json, "hosts", 1);
     if (out.hosts < 1) complain("hosts", "below 1");
     out.readOnly = truth(json, "read_only", false);
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -33,8 +33,11 @@
     double nodeIdleMs = 15000;     // a node closes a connection idle for this long
     double nodeRestMs = 3;         // after an answer, before the next request on its connection
     double idlePart = 0.6;         // of it: an idle connection is retired
-    double clientIdleMs = 120000;  // a client's connection
-    double crowdedIdleMs = 1000;   // and at the bound, one that may make room
+    double clientIdleMs = 2500;    // a client's connection without a request in work
+    double clientSilentMs = 2000;  // one that has not brought its first request
+    double crowdedIdleMs = 1000;   // at the bound: an idle one may make room
+    double crowdedSilentMs = 100;  // and a silent one
+    double crowdedLookMs = 10;     // between looks whether there is room again
     double watchWaitMs = 5000;     // how long discovery may hold a call
     double watchGraceMs = 2000;    // and how much later it counts as silent
     double watchAgainMs = 100;     // rest after a failed call
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -93,7 +93,7 @@
         evhttp_request* request = std::exchange(request_, nullptr);
         if (request == nullptr) return nullptr;
         const auto at = front_.connections_.find(evhttp_request_get_connection(request));
-        if (at != front_.connections_.end()) at->second.job = nullptr;
+        if (at != front_.connections_.end()) at->second = {nullptr, front_.desk_.nowMs()};
         return request;
     }
 
@@ -176,32 +176,68 @@
     for (const auto& [usedMs, connection] : idle) evhttp_connection_free(connection);
 }
 
+void HttpFront::closeSilent(std::size_t most, double silentMs) {
+    const double before = desk_.nowMs() - silentMs;
+    std::vector<std::pair<double, bufferevent*>> silent;
+    std::erase_if(unheard_, [](const auto& e) {
+        bufferevent_event_cb onEvent = nullptr;
+        bufferevent_getcb(e.first, nullptr, nullptr, &onEvent, nullptr);
+        return onEvent == nullptr;  // evhttp has closed it
+    });
+    for (const auto& [buffers, unheard] : unheard_) {
+        if (unheard.sinceMs <= before) silent.emplace_back(unheard.sinceMs, buffers);
+    }
+    // One that goes on with pieces of a request for longer than evhttp's time-out between them is no better.
+    for (const auto& [connection, client] : connections_) {
+        if (client.job == nullptr && client.usedMs <= before - limits_.clientIdleMs)
+            silent.emplace_back(client.usedMs, evhttp_connection_get_bufferevent(connection));
+    }
+    std::sort(silent.begin(), silent.end());
+    silent.resize(std::min(silent.size(), most));
+    // To evhttp it looks as if the client had closed: it lets go of the connection from the loop.
+    for (const auto& [sinceMs, buffers] : silent) shutdown(bufferevent_getfd(buffers), SHUT_RDWR);
+    if (!silent.empty()) desk_.counters().add("client_silent", silent.size());
+}
+
 bool HttpFront::crowded() const {
     const int fd = fcntl(STDERR_FILENO, F_DUPFD_CLOEXEC, 0);  // the lowest that is free
     if (fd >= 0) ::close(fd);
     return fd < 0 || static_cast<std::size_t>(fd) + limits_.spareDescriptors >= limits_.descriptors ||
-           connections_.size() >= limits_.clientConnections;
+           connections_.size() + unheard_.size() >= limits_.clientConnections;
+}
+
+void HttpFront::accept(bool on) {
+    if (on == accepting_ || socket_ == nullptr) return;
+    evconnlistener* listener = evhttp_bound_socket_get_listener(socket_);
+    on ? evconnlistener_enable(listener) : evconnlistener_disable(listener);
+    accepting_ = on;
+    if (!on) desk_.counters().add("client_crowd");
 }
 
-// At the bound the longest idle connections make room, and new ones wait in the listener's queue meanwhile;
-// requests on those there are still come.
+// At the bound silent connections make room, then those idle longest, and new ones wait in the listener's
+// queue meanwhile; requests on those there are still come.
 void HttpFront::look() {
-    if (crowded()) closeIdle(limits_.spareDescriptors, limits_.crowdedIdleMs);
-    const bool accept = !crowded();
-    if (accept != accepting_ && socket_ != nullptr) {
-        evconnlistener* listener = evhttp_bound_socket_get_listener(socket_);
-        accept ? evconnlistener_enable(listener) : evconnlistener_disable(listener);
-        accepting_ = accept;
-        if (!accept) log_.warn("front", "no more connections taken for now");
+    closeSilent(unheard_.size() + connections_.size(), limits_.clientSilentMs);
+    if (crowded()) {
+        closeSilent(limits_.spareDescriptors, limits_.crowdedSilentMs);
+        closeIdle(limits_.spareDescriptors, limits_.crowdedIdleMs);
     }
-    look_.start(limits_.sweepMs);
+    accept(!crowded());
+    look_.start(accepting_ ? limits_.sweepMs : limits_.crowdedLookMs);
 }
 
 bufferevent* HttpFront::accepted(event_base* base, void* arg) {
     auto* self = static_cast<HttpFront*>(arg);
     self->desk_.counters().add("client_connection");
-    if (self->accepting_ && self->crowded()) self->look_.start(0);
-    return bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    bufferevent* buffers = bufferevent_socket_new(base, -1, 0);
+    if (buffers == nullptr) return nullptr;
+    bufferevent_incref(buffers);
+    self->unheard_[buffers] = {std::unique_ptr<bufferevent, Release>(buffers), self->desk_.nowMs()};
+    if (self->crowded()) {  // before the next one in the queue is taken
+        self->accept(false);
+        self->look_.start(0);
+    }
+    return buffers;
 }
 
 void HttpFront::connectionClosed(evhttp_connection* connection, void* arg) {
@@ -223,16 +259,16 @@
     const std::string path = uri == nullptr ? "" : uri;
     const auto [client, fresh] = connections_.try_emplace(connection);
     client->second.usedMs = desk_.nowMs();
-    if (fresh) evhttp_connection_set_closecb(connection, connectionClosed, this);
+    if (fresh) {
+        evhttp_connection_set_closecb(connection, connectionClosed, this);
+        unheard_.erase(evhttp_connection_get_bufferevent(connection));
+    }
+    std::string wrong;
+    if (!framedWell(request, wrong)) return refuse(request, wrong);
     if (path == "/healthz") return reply(request, 200, "OK", "ok\n");
     if (path == "/counters") return reply(request, 200, "OK", desk_.counters().text());
-    std::string wrong;
     auto message = decodeMessage(request, site_, desk_.nowMs(), wrong);
-    if (!message) {
-        desk_.counters().add("request_malformed");
-        log_.warn("client", "malformed request: " + wrong);
-        return reply(request, 400, "Bad Request");
-    }
+    if (!message) return refuse(request, wrong);
     const Request decoded = message->request;
     const auto job = std::make_shared<HttpJob>(*this, request, std::move(*message));
     client->second.job = job.get();
@@ -242,6 +278,14 @@
     job->answer({decoded.id, Verdict::refused, site_.module.maxRetryAfterMs});
 }
 
+// What follows on such a connection may be no request at all: it ends with the answer.
+void HttpFront::refuse(evhttp_request* request, const std::string& wrong) {
+    desk_.counters().add("request_malformed");
+    log_.warn("client", "malformed request: " + wrong);
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+    reply(request, 400, "Bad Request");
+}
+
 void HttpFront::reply(evhttp_request* request, int code, const char* reason, const std::string& body) {
     if (draining_) evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
     evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -36,10 +36,14 @@
     static void connectionClosed(evhttp_connection* connection, void* self);
     void take(evhttp_request* request);
     void reply(evhttp_request* request, int code, const char* reason, const std::string& body = "");
+    void refuse(evhttp_request* request, const std::string& wrong);
     /// Closes connections that have been idle longest; their clients come back on new ones.
     void closeIdle(std::size_t most, double idleMs);
+    /// Closes those that have said nothing whole for so long, the longest silent first.
+    void closeSilent(std::size_t most, double silentMs);
     /// Whether so many descriptors are in use that no more connections are taken.
     bool crowded() const;
+    void accept(bool on);
     void look();
 
     event_base* base_;
@@ -54,7 +58,17 @@
         HttpJob* job = nullptr;  // the request in work
         double usedMs = 0;       // when the last one came
     };
-    std::map<evhttp_connection*, Client> connections_;
+    std::map<evhttp_connection*, Client> connections_;  // that have sent a request
+    // Those that have not, since when. evhttp shows a connection only with its first request: a reference to
+    // its buffers is held meanwhile, which evhttp's end of it leaves without callbacks.
+    struct Release {
+        void operator()(bufferevent* p) const { bufferevent_decref(p); }
+    };
+    struct Unheard {
+        std::unique_ptr<bufferevent, Release> buffers;
+        double sinceMs = 0;
+    };
+    std::map<bufferevent*, Unheard> unheard_;
     evhttp_bound_socket* socket_ = nullptr;
     Timer look_;
     Owned<evhttp> server_;  // last: its end closes the connections
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -1,7 +1,13 @@
 #include "http/message.h"
 
+#include <event2/keyvalq_struct.h>
+
 #include <algorithm>
+#include <cctype>
 #include <charconv>
+#include <set>
+
+#include "http/text.h"
 
 namespace martencove {
 namespace {
@@ -21,8 +27,44 @@
     return at == names.end() ? -1 : static_cast<int>(at - names.begin());
 }
 
+bool printable(std::string_view text) {
+    return std::all_of(text.begin(), text.end(), [](unsigned char c) { return c > ' ' && c < 0x7f; });
+}
+
 }  // namespace
 
+bool framedWell(evhttp_request* from, std::string& wrong) {
+    wrong = "";
+    const char* uri = evhttp_request_get_uri(from);
+    if (uri == nullptr || !printable(uri)) wrong = uri == nullptr ? "not readable" : "path";
+    std::set<std::string> seen;
+    std::string length, coding;
+    for (const evkeyval* field = evhttp_request_get_input_headers(from)->tqh_first; field != nullptr;
+         field = field->next.tqe_next) {
+        const std::string_view value = field->value;
+        std::string name = field->key;
+        if (!isToken(name) || std::any_of(value.begin(), value.end(), [](unsigned char c) {
+                return (c < ' ' && c != '\t') || c == 0x7f;
+            }))
+            wrong = "a field";
+        std::transform(name.begin(), name.end(), name.begin(),
+                       [](unsigned char c) { return std::tolower(c); });
+        if (name == "content-length") length = value;
+        if (name == "transfer-encoding") coding = value.empty() ? "none" : value;
+        for (const char* once : {"content-length", "transfer-encoding", "host", "req-id", "tier", "io-info",
+                                 "req-deadline-ms", "idempotency-key", "content-type"}) {
+            if (name == once && !seen.insert(name).second) wrong = "a field told twice";
+        }
+    }
+    std::uint64_t bytes = 0;
+    if (seen.contains("content-length") && !readDigits(length, bytes)) wrong = "Content-Length";
+    if (!coding.empty() && !sameText(coding, "chunked")) wrong = "Transfer-Encoding";
+    if (!coding.empty() && seen.contains("content-length")) wrong = "Content-Length beside Transfer-Encoding";
+    if (evhttp_request_get_command(from) != EVHTTP_REQ_PUT && (bytes > 0 || !coding.empty()))
+        wrong = "a body";
+    return wrong.empty();
+}
+
 std::optional<IoInfo> decodeIoInfo(std::string_view text) {
     IoInfo out;
     bool units = false;
@@ -73,7 +115,7 @@
     if (!isHex16(r.volume)) return refuse("volume");
     if (!isHex16(r.piece)) return refuse("piece");
     r.id = header("Req-Id");
-    if (r.id.empty() || r.id.size() > 64) return refuse("Req-Id");
+    if (r.id.empty() || r.id.size() > 64 || !printable(r.id)) return refuse("Req-Id");
     r.planNo = indexOf(site.planNames, header("Tier"));
     if (r.planNo < 0) return refuse("Tier");
     long long deadlineMs = 0;
@@ -84,6 +126,7 @@
     if (!info) return refuse("IO-Info");
     r.units = info->units;
     r.shard = info->shard;
+    if (site.shards > 0 && r.shard >= site.shards) return refuse("shard");
     r.hosts = info->hosts;
 
     out.toNode.write = evhttp_request_get_command(from) == EVHTTP_REQ_PUT;
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -18,6 +18,10 @@
     NodeRequest toNode;
 };
 
+/// Whether all agree where the request ends, and on each of its fields. evhttp takes what is ambiguous: a
+/// length beside chunks, a body to a read, which it then reads as a request of its own, fields told twice.
+[[nodiscard]] bool framedWell(evhttp_request* from, std::string& wrong);
+
 /// Nothing for what the protocol does not allow; `wrong` then says what.
 [[nodiscard]] std::optional<HttpMessage> decodeMessage(evhttp_request* from, const limedrum::Site& site,
                                                        double nowMs, std::string& wrong);
--- a/src/settings_json/settings_json.cpp
+++ b/src/settings_json/settings_json.cpp
@@ -71,6 +71,7 @@
     out.withinShare = number(family, "WithinShare", 1);
     out.spareWorth = number(family, "SpareWorth", 1);
     out.countsOthers = truth(family, "CountsOthers", false);
+    site.shards = small(family, "Shards", 0);
     out.meterMs = number(family, "MeteringMs", 0);
     const Json& limits = part(json, "Limits");
     out.attemptCap = small(limits, "SendCap", 1);
--- a/src/settings_json/settings_json.h
+++ b/src/settings_json/settings_json.h
@@ -16,6 +16,7 @@
     std::vector<std::string> planNames;   ///< by plan number
     double nodeIdleMs = 15000;            ///< a node closes a connection idle for this long
     double dialMs = 250;                  ///< a connection not made within this has failed
+    int shards = 0;                       ///< counted from 0; 0: not told how many
     int openRequests = 1 << 16;           ///< requests held at once, at most
 };
 
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -126,8 +126,10 @@
     for (const std::string& bad :
          {with("GET /read", "GET /what"), with("00000003b4d60021", "xyz"), with("Tier: basic", "Tier: gold"),
           with("Ms: 5000", "Ms: soon"), with("units=2", "units=-2"), with("shard=5", "shard"),
-          with("Req-Id: ", "No-Id: "), with("/7f3a9c21e0b4d655?x=1", ""), with("GET", "DELETE")})
+          with("Req-Id: ", "No-Id: "), with("/7f3a9c21e0b4d655?x=1", ""), with("GET", "DELETE"),
+          with("Tier: basic", "Tier: basic\r\nTier: basic"), with("Tier: basic", "Tier : basic")})
         CHECK(t.world.ask(bad).code() == 400);
+    CHECK(t.world.ask(with("shard=5", "shard=100")).code() == 400);  // there are 100, counted from 0
     CHECK(t.world.ask("PUT /write/1/2 HTTP/1.1\r\nHost: b\r\nContent-Length: 70000\r\n\r\n").code() / 100 ==
           4);
     CHECK(t.world.ask("GET /" + std::string(20000, 'a') + " HTTP/1.1\r\n\r\n").code() / 100 != 2);
@@ -139,6 +141,50 @@
     CHECK(t.world.counter("request_malformed") >= 9);
 }
 
+// Guards against a request hidden in what another takes for a body: nothing of it reaches a node, and what
+// comes behind it on the connection is not taken for a request either.
+TEST_CASE("a request whose end is ambiguous is refused and ends its connection") {
+    OneNode t;
+    const std::string hidden = t.world.request("0000000000000009");
+    const std::string size = std::to_string(hidden.size());
+    const std::string write = t.world.request("0000000000000001", "", 5000, "x");
+    const std::string head = write.substr(0, write.find("Content-Length"));
+    for (const std::string& bad :
+         {head + "Content-Length: " + size + "\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+          head + "Content-Length: 0\r\nContent-Length: " + size + "\r\n\r\n" + hidden,
+          head + "Content-Length: +0\r\n\r\n" + hidden, head + "Content-Length: -5\r\n\r\n" + hidden,
+          head + "Transfer-Encoding: gzip\r\nContent-Length: 0\r\n\r\n" + hidden,
+          t.world.request("0000000000000001", "Content-Length: " + size + "\r\n") + hidden,
+          t.world.request("0000000000000001", "Transfer-Encoding: chunked\r\n") + "0\r\n\r\n" + hidden}) {
+        CAPTURE(bad);
+        Wire& client = t.world.connect();
+        client.send(bad);
+        REQUIRE(t.world.until([&] { return client.closed; }));
+        CHECK(client.got.starts_with("HTTP/1.1 400"));
+        CHECK(client.got.find("HTTP/1.1", 8) == std::string::npos);
+    }
+    CHECK(t.node.requests.empty());
+    // Chunks alone are no riddle: the body passes on with its length.
+    CHECK(t.world.ask(head + "Transfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n").body ==
+          "made for 0000000000000001:abc");
+}
+
+// Guards against clients that connect and say nothing whole, which evhttp does not show: they were never
+// closed.
+TEST_CASE("silent clients are closed, and at the bound they make room at once") {
+    World world;
+    world.config["limits"]["sockets"] = 80;
+    world.start();
+    std::vector<Wire*> silent;
+    for (int i = 0; i < 200; ++i) silent.push_back(&world.connect());
+    silent.back()->send("GET /healthz HT");
+    CHECK(world.ask("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n").code() == 200);
+    REQUIRE(world.until(
+        [&] { return std::all_of(silent.begin(), silent.end(), [](Wire* w) { return w->closed; }); }));
+    CHECK(world.counter("client_silent") >= 200);
+    CHECK(world.counter("client_crowd") > 0);
+}
+
 // Guards against evhttp's reading on while a request is in work: the second one must wait for its turn.
 TEST_CASE("two requests sent at once on one connection are answered in turn") {
     OneNode t;
--- a/tests/program/world.cpp
+++ b/tests/program/world.cpp
@@ -193,7 +193,7 @@
                 {"Siblings", 1},
                 {"GranularityMs", 2},
                 {"Rules", {{"DrainGraceMs", 1000}, {"AnswerSlackMs", 8}}},
-                {"FamilyInfo", {{"MeanUnits", 2}, {"MaxUnits", 8}}},
+                {"FamilyInfo", {{"MeanUnits", 2}, {"MaxUnits", 8}, {"Shards", 100}}},
                 {"Limits",
                  {{"SendCap", 3},
                   {"MayCancel", true},
