Advise clients to come back within their aim, and thin the cheapest class first

Deadlines are clamped to the class's and hosts to the tier's: one hostile deadline made all other requests look like late repeats. The desk forgets nodes that left; before, gone nodes were never dropped.

--- a/src/core/desk.cpp
+++ b/src/core/desk.cpp
@@ -133,13 +133,18 @@
     counters_.add(what + std::to_string(held.planNo), static_cast<std::uint64_t>(std::llround(held.units)));
 }
 
-// Nodes stay known after they have left the list: attempts may still be out there.
+// A node that left gets nothing any more: what is still out there needs no entry.
 void Desk::remember(const NodeList& list) {
+    if (list.whole) nodes_.clear();
     for (const NodeEntry& node : list.nodes) {
-        if (node.state != NodeState::gone || !nodes_.contains(node.id)) nodes_[node.id] = node;
+        if (node.state == NodeState::gone) {
+            nodes_.erase(node.id);
+        } else if (nodes_.size() < limits_.nodes || nodes_.contains(node.id)) {
+            nodes_[node.id] = node;
+        } else {
+            counters_.add("node_not_kept");
+        }
     }
-    if (nodes_.size() <= limits_.nodes) return;
-    std::erase_if(nodes_, [](const auto& e) { return e.second.state == NodeState::gone; });
 }
 
 }  // namespace martencove
--- a/src/core/desk.h
+++ b/src/core/desk.h
@@ -53,6 +53,7 @@
     /// The nodes as the decisions see them, with their names and addresses.
     [[nodiscard]] std::vector<NodeView> view() const;
 
+    [[nodiscard]] std::size_t knownNodes() const { return nodes_.size(); }
     [[nodiscard]] std::size_t open() const { return facade_.openRequests(); }
     [[nodiscard]] double nowMs() const { return clock_.nowMs(); }
     Counters& counters() { return counters_; }
--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -1,4 +1,4 @@
-// The decisions of limedrum. The interface is include/limedrum/scheduler.h; docs/design.md has the reasons.
+// The decisions of limedrum. The interface is include/limedrum/scheduler.h.
 //
 // Flow. handle() takes the events in order, then sweep() looks at what time alone changes: requests about to
 // expire, the round's end, lost attempts, silent nodes, held work that can no longer be in time; pump() sends
@@ -48,9 +48,10 @@
 constexpr int kBidRounds = 3;           // rounds that the last sum of bids stands when no newer one arrives
 constexpr double kCollectMs = 60;       // ms after a round's start in which its bids are gathered
 constexpr double kEarlyPart = 0.25;     // of a round: the offer seen so far counts as if over this at least
-constexpr double kRefreshMs = 100;  // ms: age at which the chances of a node's volumes are worked out anew
-constexpr double kSilentAims = 4;   // aims without any answer: the node counts as silent
-constexpr int kSilentSends = 3;     // sends without any answer, at least: one or two may just have lost it
+constexpr double kRefreshMs = 100;   // ms: age at which the chances of a node's volumes are worked out anew
+constexpr double kComeBackMs = 100;  // ms: what a refusal advises; the chances are other ones by then
+constexpr double kSilentAims = 4;    // aims without any answer: the node counts as silent
+constexpr int kSilentSends = 3;      // sends without any answer, at least: one or two may just have lost it
 constexpr double kPatienceAims = 0.75;  // aims before an attempt may be held for lost, at least
 constexpr double kPatienceUsual = 3;    // times the usual answer time and delay, at least
 constexpr double kLongSilence = 3;   // times the silence limit: a restart, not a pause, is the likely cause
@@ -202,35 +203,41 @@
         if (requests_.contains(event.id)) return;
         if (event.classNo < 0 || event.classNo >= static_cast<int>(set_.classes.size()) ||
             !std::isfinite(event.expiresMs) || event.expiresMs <= now_) {
-            actions_.push_back(Refuse{event.id, 0});
+            actions_.push_back(Refuse{event.id, std::min(kComeBackMs, set_.maxRetryAfterMs)});
             return;
         }
         taken_.add(now_, 1);
+        const ClassSettings& cls = set_.classes[event.classNo];
         Request& r = requests_[event.id];
         r.told = event;
+        // No client waits longer than its class, nor is a volume met by more hosts than there are: one that
+        // says so must not count in what is learned of the others.
+        r.told.expiresMs = std::min(event.expiresMs, now_ + cls.deadlineMs);
+        r.told.hostsOfVolume = std::clamp(event.hostsOfVolume, 1, set_.hosts);
         r.told.units = std::clamp(finiteOr(event.units, set_.maxUnits), 0.0, std::max(set_.maxUnits, 1e3));
         if (event.planNo < 0 || event.planNo >= static_cast<int>(set_.plans.size())) r.told.planNo = 0;
         r.takenMs = now_;
-        expiries_.emplace(event.expiresMs, event.id);
+        expiries_.emplace(r.told.expiresMs, event.id);
         // A client's repeat brings what is left of its first try's life: its aim counts from then.
         double& life = lives_[event.classNo];
-        life = std::max(life, event.expiresMs - now_);
-        const double age = life - (event.expiresMs - now_) > kLateTryMs ? life - (event.expiresMs - now_) : 0;
-        const ClassSettings& cls = classOf(r);
+        const double left = r.told.expiresMs - now_;
+        life = std::max(life, left);
+        const double age = life - left > kLateTryMs ? life - left : 0;
         r.lateTry = age > cls.aimMs;
-        r.dueMs = r.lateTry ? event.expiresMs : std::min(now_ + cls.aimMs - age, event.expiresMs);
+        r.dueMs = r.lateTry ? r.told.expiresMs : std::min(now_ + cls.aimMs - age, r.told.expiresMs);
         r.cell = event.cell >= 0 ? event.cell : chooseCell(r.told.units);
         if (ordered(r)) lanes_.enter(event.key, event.id);
 
         Volume& v = volumes_[event.volume];
         v.plan = r.told.planNo;
-        v.hosts = std::max(v.hosts, event.hostsOfVolume);
+        v.hosts = std::max(v.hosts, r.told.hostsOfVolume);
         v.seenMs = now_;
         Cell& c = cells_[r.cell];
         Demand& d = c.volumes[event.volume];
         if (!r.lateTry) {  // repeats do not inflate what this host bids
             c.offered += r.told.units;
             d.now += r.told.units;
+            d.byWorth[cls.worth].now += r.told.units;
             v.now += r.told.units;
         }
         Node* n = nodeOf(c);
@@ -295,7 +302,8 @@
     }
 
     // Percent thinning by volume: tokens left over units expected, dealt out to reserves first, then by
-    // weight: a hot volume is thinned before its neighbours, within a volume all have the same chance.
+    // weight: a hot volume is thinned before its neighbours, and within a volume what earns least a unit
+    // before the rest.
     void workOutChances(Cell& c, const Node& n) {
         if (now_ - c.chancesMs < kRefreshMs) return;
         c.chancesMs = now_;
@@ -313,7 +321,14 @@
             claims.push_back({&d, asked, plan.weight});
         }
         dealByWeight(claims, budget, reserved);
-        for (Claim& k : claims) k.demand->chance = std::min(1.0, k.demand->fair / k.asked);
+        for (const Claim& k : claims) {
+            double left = k.demand->fair;
+            for (auto& [worth, offer] : k.demand->byWorth) {
+                const double asked = expectedRate(offer.now, offer.last);
+                offer.chance = asked > 0 ? std::min(1.0, left / asked) : 1;
+                left -= std::min(left, asked);
+            }
+        }
     }
 
     bool thinned(Cell& c, Node& n, const Request& r) {
@@ -322,7 +337,7 @@
         // A repeat past its aim earns least of all: it goes only where all else is expected to fit.
         const double rest = expectedRate(c.offered, c.lastOffered) * (roundStartMs_ + kRoundMs - now_) / 1000;
         if (r.lateTry) return slice(c, n) - c.spent < rest;
-        return random_.draw() >= c.volumes[r.told.volume].chance;
+        return random_.draw() >= c.volumes[r.told.volume].byWorth[classOf(r).worth].chance;
     }
 
     void enqueue(Request& r) {
@@ -652,9 +667,10 @@
         const ClassSettings& cls = classOf(r);
         const bool harmless = cls.repeat == Repeat::safe || (r.out == 0 && r.ranMs == kNever) ||
                               (cls.repeat == Repeat::keyed && cls.group == RepeatGroup::all);
+        // Soon enough to be in time still; where nobody answers, as late as a client will come.
         const Node* n = nodeOf(cells_[r.cell]);
-        const bool wait = n == nullptr || n->silentSinceMs > 0 || pressed(*n);
-        const Action refuse = Refuse{id, wait ? set_.maxRetryAfterMs : 0};
+        const double backMs = n == nullptr || n->silentSinceMs > 0 ? set_.maxRetryAfterMs : kComeBackMs;
+        const Action refuse = Refuse{id, std::min(backMs, set_.maxRetryAfterMs)};
         actions_.push_back(harmless ? refuse : Action(Fail{id}));
         forget(id);
     }
@@ -780,6 +796,7 @@
             for (auto it = c.volumes.begin(); it != c.volumes.end();) {
                 Demand& d = it->second;
                 d.last = std::exchange(d.now, 0);
+                for (auto& [worth, offer] : d.byWorth) offer.last = std::exchange(offer.now, 0);
                 const auto v = volumes_.find(it->first);
                 if (d.last > 0 && v != volumes_.end()) {
                     const PlanSettings& plan = planOf(v->second.plan);
--- a/src/state.h
+++ b/src/state.h
@@ -7,6 +7,7 @@
 #include <cmath>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <limits>
 #include <map>
 #include <optional>
@@ -184,11 +185,16 @@
         return line;
     }
 };
-struct Demand {
+struct Offer {
     double now = 0;   // units offered this round
     double last = 0;  // and in the last
     double chance = 1;
-    double fair = 0;  // units a second allotted
+};
+struct Demand {
+    double now = 0;                                   // units offered this round
+    double last = 0;                                  // and in the last
+    double fair = 0;                                  // units a second allotted
+    std::map<double, Offer, std::greater<>> byWorth;  // the same by the classes' worth a unit
 };
 /// A volume's claim on what a node can do, in units a second.
 struct Claim {
--- a/tests/driver.h
+++ b/tests/driver.h
@@ -1,7 +1,6 @@
 // Drives one Scheduler by events and keeps what it did. No bench, no clock.
 #pragma once
 
-#include <gtest/gtest.h>
 #include <limedrum/scheduler.h>
 
 #include <string>
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -1,4 +1,6 @@
 // Many hosts together: what a budget that all share lets through, and what one host does among hundreds.
+#include <gtest/gtest.h>
+
 #include <algorithm>
 #include <cmath>
 #include <map>
--- a/tests/scheduler_test.cpp
+++ b/tests/scheduler_test.cpp
@@ -1,3 +1,5 @@
+#include <gtest/gtest.h>
+
 #include <algorithm>
 #include <cmath>
 #include <limits>
