Take nodes' answers longer than a request may be, bounded by the memory there is

Checked: counters every 5 s showed 802 of 5,550 attempts spoilt at one scheduler; the answers themselves, printed, had Content-Length 140,982 to 377,678 and the request's id first. At fault: src/http/answer.cpp held answers to limits.body, the 64 KiB of requests. Ruled out: silent nodes (one line in the log), turned away (none). Now: one answer may take an eighth of a quarter of the memory, all together a quarter, counted from the node's connection until the client's has taken them (answer_bytes); beyond it an answer is given up as spoilt. The test fails on the program before.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -71,6 +71,10 @@
     Limits& limits = out.limits;
     limits.descriptors = count(part(json, "limits"), "sockets", limits.descriptors, 64);
     limits.spareDescriptors = std::min(limits.spareDescriptors, limits.descriptors / 4);
+    // A quarter of the memory for answers on their way, and an eighth of that for one of them.
+    const std::size_t megabytes = count(part(json, "limits"), "memory_mb", 32, 16);
+    limits.answersHeld = megabytes * 1024 * 1024 / 4;
+    limits.answerBody = limits.answersHeld / 8;
     // Clients hold more connections than nodes, which take several requests on each. No more than a scored
     // day allows at most.
     const std::size_t both = std::min<std::size_t>(limits.descriptors, 1024) - limits.spareDescriptors;
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -18,9 +18,12 @@
         const auto at = counts_.find(name);
         return at == counts_.end() ? 0 : at->second;
     }
+    /// A level, not a count: bytes of nodes' answers in memory, from the node's connection to the client's.
+    std::size_t answerBytes = 0;
+
     /// One "name value" line each, in order of the names.
     [[nodiscard]] std::string text() const {
-        std::string lines;
+        std::string lines = "answer_bytes " + std::to_string(answerBytes) + '\n';
         for (const auto& [name, count] : counts_) lines += name + ' ' + std::to_string(count) + '\n';
         return lines;
     }
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -8,6 +8,8 @@
 struct Limits {
     // Sizes, in bytes.
     std::size_t body = 64 * 1024;
+    std::size_t answerBody = 1024 * 1024;       // of one node's answer, which may be longer than a request
+    std::size_t answersHeld = 8 * 1024 * 1024;  // of all of them that are in memory
     std::size_t headers = 8 * 1024;
     std::size_t datagram = 256;
     std::size_t nbdOption = 4200;        // an option's data: two names at the most
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -57,7 +57,7 @@
             case Verdict::served:
                 if (!reply_.contentType.empty())
                     evhttp_add_header(headers, "Content-Type", reply_.contentType.c_str());
-                return front_.reply(request, 200, "OK", reply_.body);
+                return front_.reply(request, 200, "OK", std::move(reply_.body));
             case Verdict::refused:
                 if (answer.retryAfterMs > 0) {
                     char seconds[32];
@@ -286,11 +286,36 @@
     reply(request, 400, "Bad Request");
 }
 
-void HttpFront::reply(evhttp_request* request, int code, const char* reason, const std::string& body) {
+namespace {
+
+/// An answer's body on its way to the client, which its connection's buffer lets go of once it is written.
+struct Leaving {
+    std::string body;
+    Counters& counters;
+
+    Leaving(std::string b, Counters& c) : body(std::move(b)), counters(c) {
+        counters.answerBytes += body.size();
+    }
+    ~Leaving() { counters.answerBytes -= body.size(); }
+    Leaving(const Leaving&) = delete;
+    Leaving& operator=(const Leaving&) = delete;
+};
+
+}  // namespace
+
+void HttpFront::reply(evhttp_request* request, int code, const char* reason, std::string body) {
     // Near the bound a connection that rests is one that another client cannot have.
     if (draining_ || connections_.size() + unheard_.size() > limits_.keptConnections)
         evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
-    evbuffer_add(evhttp_request_get_output_buffer(request), body.data(), body.size());
+    if (!body.empty()) {
+        auto leaving = std::make_unique<Leaving>(std::move(body), desk_.counters());
+        const std::string& text = leaving->body;
+        if (evbuffer_add_reference(
+                evhttp_request_get_output_buffer(request), text.data(), text.size(),
+                [](const void*, std::size_t, void* arg) { delete static_cast<Leaving*>(arg); },
+                leaving.get()) == 0)
+            (void)leaving.release();  // the buffer's now
+    }
     evhttp_send_reply(request, code, reason, nullptr);
 }
 
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -35,7 +35,7 @@
     static bufferevent* accepted(event_base* base, void* self);
     static void connectionClosed(evhttp_connection* connection, void* self);
     void take(evhttp_request* request);
-    void reply(evhttp_request* request, int code, const char* reason, const std::string& body = "");
+    void reply(evhttp_request* request, int code, const char* reason, std::string body = "");
     void refuse(evhttp_request* request, const std::string& wrong);
     /// Closes connections that have been idle longest; their clients come back on new ones.
     void closeIdle(std::size_t most, double idleMs);
--- a/src/http/node_link.cpp
+++ b/src/http/node_link.cpp
@@ -1,5 +1,7 @@
 #include "http/node_link.h"
 
+#include <utility>
+
 namespace martencove {
 
 std::string encode(const NodeRequest& request, const Address& node) {
@@ -12,15 +14,23 @@
 }
 
 void NodeLink::start(const NodeRequest& request, double timeoutMs, Over over) {
+    hold(0);
     reader_.emplace(limits_);
     begin(timeoutMs, std::move(over));
     writeLast(encode(request, node()));
 }
 
+void NodeLink::hold(std::size_t bytes) { counters_.answerBytes += bytes - std::exchange(held_, bytes); }
+
 void NodeLink::arrived(std::string_view& in) {
     AnswerReader& answer = *reader_;
     const auto got = answer.take(in);
+    hold(got == AnswerReader::Got::more ? answer.body.size() : 0);
     if (got == AnswerReader::Got::bad) return spoil();
+    if (counters_.answerBytes > limits_.answersHeld) {
+        counters_.add("answer_no_memory");
+        return spoil();
+    }
     if (got == AnswerReader::Got::more) return;
     const bool declined = (answer.code == 503 || answer.code == 504) && answer.declined;
     if (answer.code == 200)
--- a/src/http/node_link.h
+++ b/src/http/node_link.h
@@ -28,13 +28,18 @@
              Counters& counters)
         : Link(base, node, limits, counters) {}
 
+    ~NodeLink() override { hold(0); }
+
     [[nodiscard]] bool fits(const Address& to, const NodeRequest&) const { return node() == to; }
     void start(const NodeRequest& request, double timeoutMs, Over over);
 
 private:
     void arrived(std::string_view& in) override;
 
+    void hold(std::size_t bytes);
+
     std::optional<AnswerReader> reader_;  // of the present request
+    std::size_t held_ = 0;                // of its answer, as counted
 };
 
 using NodePool = LinkPool<NodeLink>;
--- a/tests/program/spoilt_test.cpp
+++ b/tests/program/spoilt_test.cpp
@@ -115,6 +115,19 @@
     }
 }
 
+// Guards against taking long answers for spoilt: only requests hold 64 KiB at most. And against memory that
+// answers could fill: one beyond its part of it is given up, and what has left is not held.
+TEST_CASE("an answer longer than a request may be is served; one beyond its part of the memory is not") {
+    const std::string longest(500'000, 'y');
+    Spoiling t(httpReply(200, longest));
+    CHECK(t.world.ask(t.world.request("0000000000000001")).body == longest);
+    CHECK(t.world.counter("attempt_spoilt") == 0);
+    REQUIRE(t.world.until([&] { return t.world.counter("answer_bytes") == 0; }));
+    Spoiling tooMuch(httpReply(200, std::string(7'000'000, 'y')));  // of 192 MB: 6 MB
+    CHECK(tooMuch.world.ask(tooMuch.world.request("0000000000000001")).body == "made for 0000000000000001:");
+    CHECK(tooMuch.world.counter("attempt_spoilt") == 1);
+}
+
 // Guards against a second run of what may have run already, where no repeat is dropped any more.
 TEST_CASE("an answer that never becomes whole ends with the request, in one failure or refusal") {
     Spoiling t("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\nhalf", 9);
