Give requests without an attempt up before half of their time has passed

Now: without an attempt by 0.45 of its time a request is refused at once; one that waits for its key's turn still waits. The test fails before (answered at the deadline).

--- a/src/decide.cpp
+++ b/src/decide.cpp
@@ -56,6 +56,7 @@
 constexpr double kPatienceUsual = 3;    // times the usual answer time and delay, at least
 constexpr double kLongSilence = 3;   // times the silence limit: a restart, not a pause, is the likely cause
 constexpr double kListLagMs = 5000;  // ms: the list tells a restart within this, mostly
+constexpr double kHoldPart = 0.45;   // of its time: a request without an attempt by then is given up
 constexpr double kShedHope = 1.6;    // times the own part: other hosts leave some of theirs unused
 constexpr double kTrickleMs = 500;   // ms between attempts at a silent node
 constexpr double kSweepMs = 10;      // ms between looks at held work
@@ -217,7 +218,7 @@
         r.told.units = std::clamp(finiteOr(event.units, set_.maxUnits), 0.0, std::max(set_.maxUnits, 1e3));
         if (event.planNo < 0 || event.planNo >= static_cast<int>(set_.plans.size())) r.told.planNo = 0;
         r.takenMs = now_;
-        expiries_.emplace(r.told.expiresMs, event.id);
+        lookAt(r, now_ + kHoldPart * (r.told.expiresMs - now_));
         // A client's repeat brings what is left of its first try's life: its aim counts from then.
         double& life = lives_[event.classNo];
         const double left = r.told.expiresMs - now_;
@@ -653,7 +654,7 @@
         const auto at = requests_.find(event.id);
         if (at == requests_.end()) return;
         at->second.streaming = true;  // from here on it has no deadline
-        expiries_.erase({at->second.told.expiresMs, event.id});
+        expiries_.erase({at->second.lookMs, event.id});
     }
 
     void on(const AbandonedEvent& event) { forget(event.id); }
@@ -685,7 +686,7 @@
             for (auto f = flights_.lower_bound({id, 0}); f != flights_.end() && f->first.first == id; ++f)
                 actions_.push_back(Cancel{id, f->first.second});
         }
-        expiries_.erase({r.told.expiresMs, id});
+        expiries_.erase({r.lookMs, id});
         if (ordered(r)) lanes_.finished(r.told.key, id);
         requests_.erase(at);
     }
@@ -703,6 +704,11 @@
         say("node " + std::to_string(n.id) + " answers nothing");
     }
 
+    void lookAt(Request& r, double ms) {
+        expiries_.erase({r.lookMs, r.told.id});
+        expiries_.emplace(r.lookMs = ms, r.told.id);
+    }
+
     double patience(const Node& n, double units) const {
         return std::max(kPatienceAims * aimMs_, kPatienceUsual * (n.unitMs * units + n.delayMs));
     }
@@ -740,8 +746,12 @@
     }
 
     void sweep() {
-        while (!expiries_.empty() && expiries_.begin()->first - set_.tickMs <= now_)
-            finish(RequestId(expiries_.begin()->second), expired);
+        while (!expiries_.empty() && expiries_.begin()->first - set_.tickMs <= now_) {
+            Request& r = requests_.at(expiries_.begin()->second);
+            // One that waits for its key's turn may still get it.
+            const bool over = (r.attempts == 0 && !ordered(r)) || r.lookMs >= r.told.expiresMs;
+            over ? finish(RequestId(r.told.id), expired) : lookAt(r, r.told.expiresMs);
+        }
         if (set_.listOnRequest && now_ >= askMs_) {
             actions_.push_back(Subscribe{});
             askMs_ = now_ + kAskLostMs;
--- a/src/state.h
+++ b/src/state.h
@@ -113,7 +113,8 @@
     RequestEvent told;
     double takenMs = 0;
     double dueMs = 0;
-    double merit = 0;  // worth a unit: what shedding compares
+    double lookMs = 0;  // when its time is looked at: part of it has passed, then all
+    double merit = 0;   // worth a unit: what shedding compares
     int cell = -1;
     int attempts = 0;
     int out = 0;
--- a/tests/decide_test.cpp
+++ b/tests/decide_test.cpp
@@ -104,6 +104,25 @@
     CHECK(dear > 1.2 * cheap);
 }
 
+// Guards against holding what nobody could send until its client has given up: it costs the client its time.
+TEST_CASE("without an attempt a request is given up before half of its time has passed") {
+    Settings s = plainSettings();
+    s.rules.coldShare = 0.25;
+    s.rules.warmWithinMs = 10000;
+    s.rules.fallMs = 1000;
+    s.coldUnits = 1;  // of which this host's part covers nothing
+    Driver d(s);
+    d.give(0, ListEvent{ListKind::update, {{.node = 100, .cell = 0, .bootMs = 1}}});
+    RequestEvent late = request("late", 400, 0);  // a client's repeat: it is due at its end
+    d.give(0, request("first", 1000, 0));
+    d.give(1, late);
+    d.pass(200);
+    CHECK(d.answers("late") == 1);
+    d.pass(500);
+    CHECK(d.answers("first") == 1);
+    CHECK(d.sends() == 0);
+}
+
 // Guards against growing memory over a long day on which nodes are replaced by new ones with new ids.
 TEST_CASE("the desk forgets nodes that have left") {
     using namespace martencove;
