Tell NBD clients beyond the bound on open requests when to come back

Checked while going through the NBD path beside the HTTP one: Session::command() in src/nbd/front.cpp refused without advice and without its counter where the desk does not take a command, HTTP with both. One figure in Limits now serves both fronts. The test fails before.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -83,6 +83,7 @@
     limits.keptConnections = limits.clientConnections / 2;
     limits.openRequests =
         std::min(limits.openRequests, static_cast<std::size_t>(std::max(1, out.site.openRequests)));
+    limits.notTakenBackMs = out.site.module.maxRetryAfterMs;
     limits.dialMs = out.site.dialMs;
     limits.nodeIdleMs = out.site.nodeIdleMs;
     double longestMs = 0;
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -50,6 +50,7 @@
     double etcdQuietMs = 30000;    // a watch that says nothing for so long is asked for anew
     double etcdBadMs = 1000;       // rest after an answer that cannot be read
     double xdsLookMs = 500;        // between looks at what proxies should be told
+    double notTakenBackMs = 0;  // what a request beyond the bounds is advised to wait; 0: no advice allowed
     double nbdHandshakeMs = 5000;
     double sweepMs = 250;  // between looks at idle connections
 };
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -275,7 +275,7 @@
     if (desk_.take(decoded, job)) return;
     // Never in the desk's hands: turned away without a trace.
     desk_.counters().add("request_not_taken");
-    job->answer({decoded.id, Verdict::refused, site_.module.maxRetryAfterMs});
+    job->answer({decoded.id, Verdict::refused, limits_.notTakenBackMs});
 }
 
 // What follows on such a connection may be no request at all: it ends with the answer.
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -333,7 +333,8 @@
     jobs_.insert(job.get());
     if (front_.desk_.take(r, job)) return got;
     jobs_.erase(job.get());
-    answer(cookie, Error::noMemory, refusalText(0), 0, "");
+    front_.desk_.counters().add("request_not_taken");
+    answer(cookie, Error::noMemory, refusalText(front_.limits_.notTakenBackMs), 0, "");
     return got;
 }
 
--- a/tests/program/nbd_test.cpp
+++ b/tests/program/nbd_test.cpp
@@ -9,7 +9,9 @@
 
 /// A program with one node that speaks NBD, for shard 5, and one export there.
 struct Site {
-    explicit Site(NbdNode::Serve serve = inChunks) : node(world.base.get(), std::move(serve)) {
+    explicit Site(NbdNode::Serve serve = inChunks, int mostOpen = 1000)
+        : node(world.base.get(), std::move(serve)) {
+        world.config["settings"]["Limits"]["MaxOpen"] = mostOpen;
         world.config["known"]["hosts"].push_back(world.entry("s-1", node.listener.address, 5, "ready"));
         const Json disk{
             {"name", "disk"}, {"bytes", kSize},       {"volume", "v"},          {"plan", "basic"},
@@ -167,6 +169,19 @@
     CHECK(t.node.commands.empty());
 }
 
+// Guards against turning a command away beyond the bound without a word of when to come back, as HTTP says
+// it.
+TEST_CASE("beyond the bound on open requests a command is refused and told when to come back") {
+    Site t([](Wire&, const CommandMessage&) {}, 1);
+    Wire& wire = t.ready();
+    wire.send(encode(readOf(1, 0, 512)));
+    REQUIRE(t.until([&] { return t.node.commands.size() == 1; }));
+    const ChunkMessage refused = t.ask(wire, readOf(2, 0, 512));
+    REQUIRE(refused.type == Chunk::error);
+    CHECK(decodeError(refused.payload)->text == "refused, never ran: come back in 1.000 s");
+    CHECK(t.world.counter("request_not_taken") == 1);
+}
+
 // Guards against taking a command's bytes twice where its answer comes within the call that takes it: such a
 // short deadline is over at once.
 TEST_CASE("commands that are refused at once are each answered once") {
