Move the decision module to src/limedrum and its tests beside it

The growth stage adds packages of pure deciders beside the module; a reader should guess the file from the folder. Sources of the module lay bare in src/. Moved without a change to any statement; tests follow as tests/<folder>, the on-call page as docs/operators.

--- a/src/state.h
+++ b/src/limedrum/state.h
@@ -1,4 +1,5 @@
-// What a host keeps of requests, attempts, nodes, volumes and peers. Plain data: src/decide.cpp decides.
+// What a host keeps of requests, attempts, nodes, volumes and peers. Plain data: src/limedrum/decide.cpp
+// decides.
 #pragma once
 
 #include <limedrum/scheduler.h>
