--- a/include/limedrum/scheduler.h
+++ b/include/limedrum/scheduler.h
@@ -23,7 +23,7 @@
 
 namespace limedrum {
 
-using NodeId = std::uint32_t;
+using NodeId = std::uint64_t;
 using RequestId = std::string;
 
 /// Whether running a request twice does harm.
@@ -99,6 +99,7 @@
     int cell = 0;  ///< the shard it holds
     NodeState state = NodeState::serving;
     double bootMs = 0;  ///< 0: long ago
+    double weight = 0;  ///< part of the shard's work against its other holders; 0: not told
 };
 
 enum class ListKind { update, full, restored, unavailable };
--- /dev/null
+++ b/src/cli/program.cpp
@@ -0,0 +1,192 @@
+#include "cli/program.h"
+
+#include <csignal>
+#include <sstream>
+
+#include "core/desk.h"
+#ifdef MARTENCOVE_ETCD
+#include "etcd/source.h"
+#endif
+#include "http/front.h"
+#include "nbd/front.h"
+#include "net/discovery.h"
+#include "net/log.h"
+#include "net/loop.h"
+#include "net/peers.h"
+#ifdef MARTENCOVE_XDS
+#include "xds/server.h"
+#endif
+
+namespace martencove {
+
+class Program::Impl {
+public:
+    Impl(Config config, Extras extras)
+        : config_(std::move(config)),
+          base_(makeBase()),
+          log_(clock_, config_.limits),
+          tick_(base_.get(), [this] { desk_.tick(); }),
+#ifdef MARTENCOVE_OPERATOR
+          files_(openFiles(extras)),
+#endif
+          facade_(config_.site.module, config_.seed, clock_.nowMs(), config_.known),
+          desk_(facade_, clock_, config_.limits, counters_, ports(), config_.known),
+          pool_(base_.get(), clock_, config_.limits, counters_),
+          front_(base_.get(), config_.listen, desk_, pool_, config_.site, config_.limits, log_),
+          term_(base_.get(), SIGTERM, [this] { drain(); }),
+          interrupt_(base_.get(), SIGINT, [this] { drain(); }),
+          hangup_(base_.get(), SIGHUP, [this] { reload(); }),
+          usr1_(base_.get(), SIGUSR1, [this] { printCounters(); }),
+          end_(base_.get(), [this] { endSoon(); }) {
+        if (config_.peerListen)
+            peers_.emplace(base_.get(), *config_.peerListen, config_.peers, config_.limits, counters_, log_,
+                           [this](const PeerMessage& message) { desk_.hear(message); });
+        const auto told = [this](const NodeList& list) { desk_.learn(list); };
+        bool watch = true;
+#ifdef MARTENCOVE_OPERATOR
+        if (files_) {
+            watch = false;
+            files_->start(told);
+            front_.page("/nodes", [this] { return files_->statusText(); });
+            front_.readyWhen([this] { return files_->ready(); });
+        }
+        if (extras.nbd) {
+            nbdPool_.emplace(base_.get(), clock_, config_.limits, counters_);
+            nbdFront_.emplace(base_.get(), std::move(*extras.nbd), desk_, *nbdPool_, config_.limits, log_);
+        }
+#endif
+#ifdef MARTENCOVE_ETCD
+        if (extras.etcd) {
+            watch = false;
+            etcd_.emplace(base_.get(), *extras.etcd, config_.limits, counters_, log_, told);
+        }
+#endif
+        if (watch && !config_.discovery) throw ConfigError("discovery: missing");
+        if (watch)
+            discovery_.emplace(base_.get(), *config_.discovery, config_.known.version, config_.limits,
+                               counters_, log_, told);
+#ifdef MARTENCOVE_XDS
+        if (extras.xds)
+            xds_.emplace(base_.get(), *extras.xds, config_.limits, counters_,
+                         [this] { return desk_.view(); });
+#endif
+        desk_.tick();
+        spdlog::info("{} listens on {}, {} nodes known", config_.name, config_.listen.text(),
+                     config_.known.nodes.size());
+    }
+
+    void run() {
+        event_base_dispatch(base_.get());
+        desk_.letGo();
+        printCounters();
+    }
+
+private:
+    DeskPorts ports() {
+        return {[this](double ms) { tick_.start(ms); },
+                [this](const PeerMessage& message) {
+                    peers_ ? peers_->tell(message) : counters_.add("peer_unsent");
+                },
+                [](const std::string& note) { spdlog::info("module: {}", note); }};
+    }
+
+    // Requests go on meanwhile: what a running program can take over is put in its place, nothing else moves.
+    void reload() {
+        try {
+            const Config next = readConfigAgain();
+            counters_.add("config_read");
+            spdlog::info("configuration read: discovery at {}",
+                         next.discovery ? next.discovery->text() : std::string("none"));
+            for (const auto& [field, value] : config_.fixed) {
+                const auto now = next.fixed.find(field);
+                if (now == next.fixed.end() || now->second != value)
+                    spdlog::warn("configuration: {} differs, which waits for the next start", field);
+            }
+            if (discovery_ && next.discovery) discovery_->moveTo(*next.discovery);
+            if (peers_) peers_->reach(next.peers);
+        } catch (const std::exception& error) {
+            counters_.add("config_bad");
+            log_.warn("configuration", std::string("not taken, the old one stands: ") + error.what());
+        }
+    }
+
+    // New connections still come for a while, and what was taken is finished.
+    void drain() {
+        if (drainedMs_) return;
+        drainedMs_ = clock_.nowMs();
+        spdlog::info("ending: {} requests open", desk_.open());
+        front_.drain();
+        end_.start(config_.limits.drainAcceptMs);
+    }
+
+    void endSoon() {
+        const double passedMs = clock_.nowMs() - *drainedMs_;
+        const Limits& limits = config_.limits;
+        front_.close();
+        if (nbdFront_) nbdFront_->close();
+        const bool quiet = passedMs >= limits.drainAcceptMs + limits.drainQuietMs && desk_.open() == 0 &&
+                           (!nbdFront_ || nbdFront_->quiet());
+        if (!quiet && passedMs < limits.drainMostMs) return end_.start(20);
+        spdlog::info("ended: {} requests open", desk_.open());
+        event_base_loopbreak(base_.get());
+    }
+
+    void printCounters() const {
+        std::string line;
+        for (const char c : counters_.text()) line += c == '\n' ? ',' : c;
+        spdlog::info("counters: {}", line);
+#ifdef MARTENCOVE_OPERATOR
+        if (!files_) return;
+        std::istringstream status(files_->statusText());
+        while (std::getline(status, line)) spdlog::info("nodes: {}", line);
+#endif
+    }
+
+#ifdef MARTENCOVE_OPERATOR
+    // What is in force there is what the program starts with: the platform's list does not count then.
+    std::unique_ptr<files::Source> openFiles(const Extras& extras) {
+        if (!extras.nodes) return nullptr;
+        auto out = std::make_unique<files::Source>(base_.get(), *extras.nodes, clock_, config_.limits,
+                                                   counters_, log_);
+        config_.known = out->first();
+        return out;
+    }
+#endif
+
+    Config config_;
+    Clock clock_;
+    Counters counters_;
+    Owned<event_base> base_;
+    BoundedLog log_;
+    std::optional<Peers> peers_;
+    Timer tick_;
+#ifdef MARTENCOVE_OPERATOR
+    std::unique_ptr<files::Source> files_;  // in discovery's place
+#endif
+    Facade facade_;
+    Desk desk_;
+    NodePool pool_;
+    std::optional<Discovery> discovery_;
+#ifdef MARTENCOVE_ETCD
+    std::optional<etcd::Source> etcd_;  // in discovery's place
+#endif
+    HttpFront front_;
+    std::optional<nbd::Pool> nbdPool_;
+    std::optional<nbd::Front> nbdFront_;
+#ifdef MARTENCOVE_XDS
+    std::optional<xds::Server> xds_;
+#endif
+    SignalWatch term_;
+    SignalWatch interrupt_;
+    SignalWatch hangup_;
+    SignalWatch usr1_;
+    Timer end_;
+    std::optional<double> drainedMs_;
+};
+
+Program::Program(Config config, Extras extras)
+    : impl_(std::make_unique<Impl>(std::move(config), std::move(extras))) {}
+Program::~Program() = default;
+void Program::run() { impl_->run(); }
+
+}  // namespace martencove
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -54,7 +54,8 @@
     Config out;
     out.name = told(json, first, "NODE_NAME", "name");
     out.listen = address(told(json, first, "NODE_LISTEN", "listen"), "listen");
-    out.discovery = address(told(json, first, "NODE_DISCOVERY", "discovery"), "discovery");
+    if (!variable("NODE_DISCOVERY").empty() || find(json, "discovery") != nullptr)
+        out.discovery = address(told(json, first, "NODE_DISCOVERY", "discovery"), "discovery");
     out.seed = seedOf(text(need(json, "seed"), "seed"));
     if (const Json* listen = find(json, "peer_listen")) {
         out.peerListen = address(text(*listen, "peer_listen"), "peer_listen");
@@ -63,7 +64,7 @@
     }
     out.site = limedrum::decodeSettings(need(json, "settings"));
     try {
-        out.known = decodeNodeList(need(json, "known"));
+        if (const Json* known = find(json, "known")) out.known = decodeNodeList(*known);
     } catch (const FieldError& error) {
         complain("known", error.what());
     }
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -25,7 +25,7 @@
 struct Config {
     std::string name;
     Address listen;
-    Address discovery;
+    std::optional<Address> discovery;  ///< where storage nodes come from, unless the operator's file says
     std::uint64_t seed = 0;
     std::optional<Address> peerListen;
     std::vector<Address> peers;  ///< by their numbers in the settings
--- a/src/config/nbd_config.cpp
+++ b/src/config/nbd_config.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 
-#include "config/config.h"
 #include "settings_json/fields.h"
 
 namespace martencove {
@@ -16,14 +15,7 @@
     return static_cast<int>(at - names.begin());
 }
 
-Address address(const Json& json, const char* field) {
-    const auto parsed = parseAddress(text(json, field));
-    if (!parsed) complain(field, "not an address");
-    return *parsed;
-}
-
-double above0(const Json& json, const char* field, double otherwise) {
-    const double value = number(json, field, otherwise);
+double above0(double value, const char* field) {
     if (!(value > 0)) complain(field, "not above 0");
     return value;
 }
@@ -44,25 +36,27 @@
     return static_cast<int>(site.classNames.size()) - 1;
 }
 
-NbdExport exportOf(const Json& json, limedrum::Site& site) {
+NbdExport exportOf(const NbdExportTold& told, limedrum::Site& site) {
     NbdExport out;
-    out.name = text(need(json, "name"), "name");
-    out.bytes = static_cast<std::uint64_t>(above0(json, "bytes", 0));
-    out.volume = text(need(json, "volume"), "volume");
-    out.planNo = indexOf(site.planNames, text(need(json, "plan"), "plan"), "plan");
-    out.shard = small(need(json, "shard"), "shard");
+    out.name = told.name;
+    out.bytes = told.bytes;
+    if (out.bytes == 0) complain("bytes", "not above 0");
+    out.volume = told.volume;
+    out.planNo = indexOf(site.planNames, told.plan, "plan");
+    out.shard = told.shard;
     if (out.shard < 0) complain("shard", "below 0");
     if (site.shards > 0 && out.shard >= site.shards) complain("shard", "no such shard");
-    out.hosts = small(json, "hosts", 1);
+    out.hosts = told.hosts;
     if (out.hosts < 1) complain("hosts", "below 1");
-    out.readOnly = truth(json, "read_only", false);
-    out.readClass = indexOf(site.classNames, text(need(json, "read_class"), "read_class"), "read_class");
-    out.readDeadlineMs = above0(json, "read_deadline_ms", site.module.classes[out.readClass].deadlineMs);
+    out.readOnly = told.readOnly;
+    out.readClass = indexOf(site.classNames, told.readClass, "read_class");
+    out.readDeadlineMs = above0(told.readDeadlineMs.value_or(site.module.classes[out.readClass].deadlineMs),
+                                "read_deadline_ms");
     out.readClass = classFor(site, out.readClass, false, out.readDeadlineMs);
     if (out.readOnly) return out;
-    const int writes =
-        indexOf(site.classNames, text(need(json, "write_class"), "write_class"), "write_class");
-    out.writeDeadlineMs = above0(json, "write_deadline_ms", site.module.classes[writes].deadlineMs);
+    const int writes = indexOf(site.classNames, told.writeClass, "write_class");
+    out.writeDeadlineMs =
+        above0(told.writeDeadlineMs.value_or(site.module.classes[writes].deadlineMs), "write_deadline_ms");
     out.writeClass = classFor(site, writes, true, out.writeDeadlineMs);
     return out;
 }
@@ -76,22 +70,10 @@
     return nullptr;
 }
 
-NbdConfig readNbdConfig(const std::string& path, limedrum::Site& site) {
-    try {
-        const Json json = readJsonFile(path, "nbd file");
-        NbdConfig out;
-        out.listen = address(need(json, "listen"), "listen");
-        out.unitBytes = above0(json, "unit_bytes", out.unitBytes);
-        for (const Json& entry : list(need(json, "exports"), "exports")) {
-            out.exports.push_back(exportOf(entry, site));
-            if (out.find(out.exports.back().name) != &out.exports.back())
-                complain("name", "an export named twice");
-        }
-        for (const auto& [name, dial] : need(json, "nodes").items()) out.nodes[name] = address(dial, "nodes");
-        return out;
-    } catch (const FieldError& error) {
-        throw ConfigError("nbd file: " + std::string(error.what()));
-    }
+void addExport(NbdConfig& config, const NbdExportTold& told, limedrum::Site& site) {
+    NbdExport next = exportOf(told, site);
+    if (config.find(next.name) != nullptr) complain("name", "an export named twice");
+    config.exports.push_back(std::move(next));
 }
 
 }  // namespace martencove
--- /dev/null
+++ b/src/config/operator.cpp
@@ -0,0 +1,152 @@
+#include "config/operator.h"
+
+#include <google/protobuf/io/tokenizer.h>
+#include <google/protobuf/text_format.h>
+
+#include <cmath>
+
+#include "config/config.h"
+#include "files/read.h"
+#include "operator.pb.h"
+#include "settings_json/fields.h"
+
+namespace martencove {
+namespace {
+
+namespace pb = google::protobuf;
+using limedrum::fields::complain;
+using limedrum::fields::FieldError;
+
+class FirstError final : public pb::io::ErrorCollector {
+public:
+    void AddError(int line, int column, const std::string& message) override {
+        if (text.empty()) text = std::to_string(line + 1) + ':' + std::to_string(column + 1) + ": " + message;
+    }
+    std::string text;
+};
+
+/// A message of the file, with the places where its fields stand.
+template <typename Message>
+struct Section {
+    const Message& in;
+    const pb::TextFormat::ParseInfoTree* places;
+    std::string file;
+
+    /// Runs `check`; what it complains of is told with the place of the field that the complaint begins with.
+    template <typename Check>
+    auto checked(Check check) const {
+        try {
+            return check(in);
+        } catch (const FieldError& error) {
+            const std::string text = error.what();
+            const auto* field = in.GetDescriptor()->FindFieldByName(text.substr(0, text.find(':')));
+            const int index = field != nullptr && field->is_repeated() ? 0 : -1;
+            std::string at = file;
+            if (field != nullptr && places != nullptr && places->GetLocation(field, index).line >= 0) {
+                const auto place = places->GetLocation(field, index);
+                at += ':' + std::to_string(place.line + 1) + ':' + std::to_string(place.column + 1);
+            }
+            throw ConfigError(at + ": " + text);
+        }
+    }
+    template <typename Inner>
+    Section<Inner> inner(const Inner& message, const char* field, int index = -1) const {
+        const auto* at = in.GetDescriptor()->FindFieldByName(field);
+        return {message, places == nullptr ? nullptr : places->GetTreeForNested(at, index), file};
+    }
+};
+
+Address address(const std::string& text, const char* field) {
+    const auto parsed = parseAddress(text);
+    if (!parsed) complain(field, text.empty() ? "missing" : "not an address: '" + text + "'");
+    return *parsed;
+}
+const std::string& need(const std::string& text, const char* field) {
+    if (text.empty()) complain(field, "missing");
+    return text;
+}
+double within(double value, double least, double most, const char* field) {
+    if (!(value >= least && value <= most)) complain(field, "out of range");
+    return value;
+}
+
+files::Config nodesOf(const config::NodesSection& in, const limedrum::Site& site, const Limits& limits) {
+    files::Config out;
+    if (in.path().empty()) complain("path", "missing");
+    for (const std::string& path : in.path()) out.paths.push_back(need(path, "path"));
+    out.keep = in.keep();
+    if (in.has_depart_s()) out.rules.departMs = within(in.depart_s(), 0, 86'400, "depart_s") * 1000;
+    if (in.has_most_lost()) out.rules.mostLostPart = within(in.most_lost(), 0, 1, "most_lost");
+    if (in.has_look_s()) out.lookMs = within(in.look_s(), 0.05, 3600, "look_s") * 1000;
+    out.rules.shards = site.shards;
+    out.rules.nodes = limits.nodes;
+    return out;
+}
+
+NbdExportTold exportOf(const config::NbdExport& in) {
+    NbdExportTold out;
+    out.name = need(in.name(), "name");
+    out.bytes = in.bytes();
+    out.volume = need(in.volume(), "volume");
+    out.plan = need(in.plan(), "plan");
+    if (!in.has_shard()) complain("shard", "missing");
+    out.shard = in.shard();
+    out.hosts = in.has_hosts() ? in.hosts() : 1;
+    out.readOnly = in.read_only();
+    out.readClass = need(in.read_class(), "read_class");
+    out.writeClass = in.write_class();
+    if (in.has_read_deadline_ms()) out.readDeadlineMs = in.read_deadline_ms();
+    if (in.has_write_deadline_ms()) out.writeDeadlineMs = in.write_deadline_ms();
+    return out;
+}
+
+NbdConfig nbdOf(const Section<config::NbdSection>& section, limedrum::Site& site) {
+    NbdConfig out;
+    section.checked([&](const config::NbdSection& in) {
+        out.listen = address(in.listen(), "listen");
+        if (in.has_unit_bytes()) out.unitBytes = in.unit_bytes();
+        if (!(out.unitBytes > 0)) complain("unit_bytes", "not above 0");
+        for (const auto& [name, dial] : in.nodes()) out.nodes[name] = address(dial, "nodes");
+    });
+    for (int i = 0; i < section.in.exports_size(); ++i) {
+        section.inner(section.in.exports(i), "exports", i).checked([&](const config::NbdExport& in) {
+            addExport(out, exportOf(in), site);
+        });
+    }
+    return out;
+}
+
+}  // namespace
+
+OperatorConfig readOperator(const std::string& path, limedrum::Site& site, const Limits& limits) {
+    const files::Content content = files::readWhole(path, limits.operatorBytes);
+    if (!content.error.empty()) throw ConfigError(path + ": " + content.error);
+    config::Operator message;
+    pb::TextFormat::Parser parser;
+    pb::TextFormat::ParseInfoTree tree;
+    FirstError error;
+    parser.RecordErrorsTo(&error);
+    parser.WriteLocationsTo(&tree);
+    if (!parser.ParseFromString(content.bytes, &message)) throw ConfigError(path + ':' + error.text);
+
+    const Section<config::Operator> top{message, &tree, path};
+    OperatorConfig out;
+    if (message.has_nodes() && message.has_etcd())
+        throw ConfigError(path + ": nodes and etcd: storage nodes come from one of them");
+    if (message.has_nodes())
+        out.nodes = top.inner(message.nodes(), "nodes").checked([&](const auto& in) {
+            return nodesOf(in, site, limits);
+        });
+    if (message.has_etcd())
+        out.etcd = top.inner(message.etcd(), "etcd").checked([](const auto& in) {
+            return EtcdConfig{address(in.address(), "address"), need(in.prefix(), "prefix")};
+        });
+    if (message.has_nbd()) out.nbd = nbdOf(top.inner(message.nbd(), "nbd"), site);
+    if (message.has_xds())
+        out.xds = top.inner(message.xds(), "xds").checked([](const auto& in) {
+            return address(in.listen(), "listen");
+        });
+    return out;
+}
+
+}  // namespace martencove
--- /dev/null
+++ b/src/config/operator.h
@@ -0,0 +1,31 @@
+// The operator's file (proto/operator.proto): what an installation adds to the platform's configuration.
+#pragma once
+
+#include <optional>
+#include <string>
+
+#include "config/nbd_config.h"
+#include "files/source.h"
+#include "net/address.h"
+
+namespace martencove {
+
+struct EtcdConfig {
+    Address address;
+    std::string prefix;
+};
+
+/// Sections that are not in the file are off.
+struct OperatorConfig {
+    std::optional<files::Config> nodes;
+    std::optional<EtcdConfig> etcd;
+    std::optional<NbdConfig> nbd;
+    std::optional<Address> xds;
+};
+
+/// Reads and checks the whole file. `site` gets what the NBD section adds to it. Throws ConfigError:
+/// "FILE:LINE:COLUMN: FIELD: REASON".
+[[nodiscard]] OperatorConfig readOperator(const std::string& path, limedrum::Site& site,
+                                          const Limits& limits);
+
+}  // namespace martencove
--- a/src/core/facade.cpp
+++ b/src/core/facade.cpp
@@ -12,7 +12,7 @@
         const auto state = node.state == NodeState::ready      ? limedrum::NodeState::serving
                            : node.state == NodeState::draining ? limedrum::NodeState::draining
                                                                : limedrum::NodeState::gone;
-        event.entries.push_back({node.id, node.zone, node.shard, state, node.bornMs});
+        event.entries.push_back({node.id, node.zone, node.shard, state, node.bornMs, node.weight});
     }
     return event;
 }
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -15,6 +15,8 @@
     std::size_t nbdOption = 4200;        // an option's data: two names at the most
     std::size_t nbdUnsent = 256 * 1024;  // replies that a client has not read: no more commands are taken
     std::size_t listBody = 1024 * 1024;  // of an answer of discovery
+    std::size_t nodeFileBytes = 32 * 1024 * 1024;  // of all files of one version of the nodes
+    std::size_t operatorBytes = 1024 * 1024;       // of the operator's file
 
     // Counts.
     std::size_t descriptors = 1024;
@@ -23,7 +25,8 @@
     std::size_t keptConnections = 240;  // of clients: beyond so many, an answer ends its connection
     std::size_t nodeConnections = 480;
     std::size_t openRequests = 4096;
-    std::size_t nodes = 4096;
+    std::size_t nodes = 100'000;
+    std::size_t swapSlice = 128;  // changes of nodes told at once, beyond a shard's own
     std::size_t xdsStreams = 16;
     std::size_t nbdClients = 32;
     std::size_t nbdCommands = 16;        // in work for one client
@@ -44,6 +47,10 @@
     double watchWaitMs = 5000;     // how long discovery may hold a call
     double watchGraceMs = 2000;    // and how much later it counts as silent
     double watchAgainMs = 100;     // rest after a failed call
+    double fileRestMs = 20;        // a file that is written to: read once it rests for so long
+    double fileRestMostMs = 200;   // or has been written to for so long
+    double fileSettleMs = 1000;    // content that is not whole: told of after so long
+    double swapSliceMs = 1;        // of the loop's time for a swap of nodes, at once
     double drainAcceptMs = 450;    // after SIGTERM: new connections are still taken
     double drainQuietMs = 300;     // and after the listener's close: what is on its way still comes
     double drainMostMs = 4600;     // and the longest that the end may take
--- a/src/core/values.h
+++ b/src/core/values.h
@@ -8,7 +8,7 @@
 
 namespace martencove {
 
-using NodeId = std::uint32_t;
+using NodeId = std::uint64_t;
 using RequestId = std::string;
 
 /// A client's request, as a front has decoded it. Times are in ms of the program's clock.
@@ -73,6 +73,7 @@
     int shard = 0;
     NodeState state = NodeState::ready;
     double bornMs = 0;  ///< Unix time of its last start; 0: long ago
+    double weight = 0;  ///< its part of the shard's work against other holders; 0: not told
 };
 /// What discovery told: a whole list or the entries that changed.
 struct NodeList {
--- a/src/etcd/source.cpp
+++ b/src/etcd/source.cpp
@@ -1,6 +1,5 @@
 #include "etcd/source.h"
 
-#include "config/config.h"
 #include "etcd/messages.h"
 #include "net/node_list.h"
 #include "settings_json/fields.h"
@@ -9,22 +8,7 @@
 
 using limedrum::fields::FieldError;
 
-Config readConfig(const std::string& path) {
-    try {
-        const auto json = readJsonFile(path, "etcd file");
-        const std::string address =
-            limedrum::fields::text(limedrum::fields::need(json, "address"), "address");
-        const auto parsed = parseAddress(address);
-        if (!parsed) limedrum::fields::complain("address", "not an address");
-        const std::string prefix = limedrum::fields::text(limedrum::fields::need(json, "prefix"), "prefix");
-        if (prefix.empty()) limedrum::fields::complain("prefix", "empty");
-        return {*parsed, prefix};
-    } catch (const FieldError& error) {
-        throw ConfigError("etcd file: " + std::string(error.what()));
-    }
-}
-
-Source::Source(event_base* base, Config config, const Limits& limits, Counters& counters, BoundedLog& log,
+Source::Source(event_base* base, EtcdConfig config, const Limits& limits, Counters& counters, BoundedLog& log,
                std::function<void(const NodeList&)> told)
     : base_(base),
       config_(std::move(config)),
--- a/src/etcd/source.h
+++ b/src/etcd/source.h
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 
+#include "config/operator.h"
 #include "core/counters.h"
 #include "core/limits.h"
 #include "core/values.h"
@@ -14,16 +15,9 @@
 
 namespace martencove::etcd {
 
-struct Config {
-    Address address;
-    std::string prefix;
-};
-/// Reads the operator's file. Throws ConfigError.
-[[nodiscard]] Config readConfig(const std::string& path);
-
 class Source {
 public:
-    Source(event_base* base, Config config, const Limits& limits, Counters& counters, BoundedLog& log,
+    Source(event_base* base, EtcdConfig config, const Limits& limits, Counters& counters, BoundedLog& log,
            std::function<void(const NodeList&)> told);
     Source(const Source&) = delete;
     Source& operator=(const Source&) = delete;
@@ -40,7 +34,7 @@
     void again(double afterMs);
 
     event_base* base_;
-    Config config_;
+    EtcdConfig config_;
     const Limits& limits_;
     Counters& counters_;
     BoundedLog& log_;
--- /dev/null
+++ b/src/files/node_file.cpp
@@ -0,0 +1,219 @@
+#include "files/node_file.h"
+
+#include <google/protobuf/io/tokenizer.h>
+#include <google/protobuf/text_format.h>
+#include <openssl/evp.h>
+
+#include <array>
+#include <cmath>
+#include <limits>
+#include <stdexcept>
+
+#include "nodes.pb.h"
+
+namespace martencove::files {
+namespace {
+
+namespace pb = google::protobuf;
+using membership::Draft;
+using membership::Severity;
+
+std::string sha256(std::string_view bytes) {
+    std::array<unsigned char, EVP_MAX_MD_SIZE> hash{};
+    unsigned size = 0;
+    if (EVP_Digest(bytes.data(), bytes.size(), hash.data(), &size, EVP_sha256(), nullptr) != 1)
+        throw std::runtime_error("sha256 is not available");
+    std::string out;
+    for (unsigned i = 0; i < size; ++i) {
+        out += "0123456789abcdef"[hash[i] >> 4];
+        out += "0123456789abcdef"[hash[i] & 15];
+    }
+    return out;
+}
+
+/// Keeps the first error: the others follow from it.
+class FirstError final : public pb::io::ErrorCollector {
+public:
+    void AddError(int line, int column, const std::string& message) override {
+        if (!reason_.empty()) return;
+        line_ = line + 1;
+        column_ = column + 1;
+        reason_ = message;
+    }
+    [[nodiscard]] membership::Problem problem(const std::string& file, Severity severity) const {
+        return {{file, line_, column_}, reason_.empty() ? "cannot be read" : reason_, severity};
+    }
+
+private:
+    int line_ = 0;
+    int column_ = 0;
+    std::string reason_;
+};
+
+bool parse(std::string_view bytes, pb::Message& into, FirstError& error,
+           pb::TextFormat::ParseInfoTree* tree) {
+    pb::TextFormat::Parser parser;
+    parser.RecordErrorsTo(&error);
+    if (tree != nullptr) parser.WriteLocationsTo(tree);
+    pb::io::ArrayInputStream stream(bytes.data(), static_cast<int>(bytes.size()));
+    return parser.Parse(&stream, &into);
+}
+
+membership::Member memberOf(const Node& node) {
+    membership::Member out;
+    out.name = node.name();
+    out.dial = node.dial();
+    // Not told, or past what a shard's number can be: the check of shards refuses both.
+    out.shard =
+        node.has_shard() && node.shard() <= static_cast<std::uint32_t>(std::numeric_limits<int>::max())
+            ? static_cast<int>(node.shard())
+            : -1;
+    out.weight = node.has_weight() ? node.weight() : 1;
+    out.rack = node.rack();
+    out.state = node.state() == DRAINING ? membership::State::draining : membership::State::ready;
+    out.bornMs = static_cast<double>(node.born_ms());
+    return out;
+}
+
+void fill(const NodeFile& in, const pb::TextFormat::ParseInfoTree& tree, Draft& out) {
+    out.version = in.version();
+    out.endVersion = in.end().version();
+    out.count = in.count();
+    out.part = in.part();
+    out.parts = {in.parts().begin(), in.parts().end()};
+    for (const Permit& permit : in.permit()) {
+        membership::Permit p{
+            permit.from_version(), {permit.rack().begin(), permit.rack().end()}, {}, permit.fleet_part()};
+        for (const std::uint32_t shard : permit.shard()) p.shards.push_back(static_cast<int>(shard));
+        out.permits.push_back(std::move(p));
+    }
+    const pb::FieldDescriptor* field = in.GetDescriptor()->FindFieldByNumber(NodeFile::kNodeFieldNumber);
+    out.members.reserve(static_cast<std::size_t>(in.node_size()));
+    for (int i = 0; i < in.node_size(); ++i) {
+        const auto at = tree.GetLocation(field, i);
+        out.members.push_back(
+            {memberOf(in.node(i)), in.node(i).has_born_ms(), {out.file, at.line + 1, at.column + 1}});
+    }
+}
+
+std::string printed(const pb::Message& message) {
+    std::string text;
+    pb::TextFormat::Printer printer;
+    if (!printer.PrintToString(message, &text)) throw std::runtime_error("a message cannot be printed");
+    return text;
+}
+
+}  // namespace
+
+Seal sealOf(std::string_view bytes) {
+    Seal out;
+    // The last line that begins so. A seal further up, of an older and longer version, does not count.
+    constexpr std::string_view kEnd = "\nend {";
+    const std::size_t at = bytes.rfind(kEnd);
+    out.found = at != bytes.npos;
+    out.bodyBytes = out.found ? at + 1 : bytes.size();
+    out.digest = sha256(bytes.substr(0, out.bodyBytes));
+    if (!out.found) return out;
+    const std::string_view line = bytes.substr(out.bodyBytes);
+    const std::size_t close = line.find('}');
+    if (close == line.npos || line.find_first_not_of(" \t\r\n", close + 1) != line.npos) return out;
+    const std::size_t hash = line.find("sha256: \"" + out.digest + '"');
+    out.good = hash != line.npos && hash < close;
+    return out;
+}
+
+Draft decodeNodeFile(const std::string& file, std::string_view bytes, bool wholeOnly) {
+    Draft out;
+    out.file = file;
+    const Seal seal = sealOf(bytes);
+    out.digest = seal.digest;
+    const std::string broken =
+        !seal.found ? "no line that begins with \"end {\": half written, or not sealed"
+                    : "the sha256 in its last line is not that of what stands before it: half written, or "
+                      "edited without sealing it again";
+    if (!seal.good && wholeOnly) {
+        out.problems.push_back({{file, 0, 0}, broken, Severity::incomplete});
+        return out;
+    }
+    if (bytes.size() > std::numeric_limits<int>::max() / 2) {
+        out.problems.push_back({{file, 0, 0}, "too long", Severity::refused});
+        return out;
+    }
+    NodeFile message;
+    FirstError error;
+    pb::TextFormat::ParseInfoTree tree;
+    // What is sealed is as its writer meant it: an error in it does not heal by waiting.
+    const Severity severity = seal.good ? Severity::refused : Severity::incomplete;
+    if (!parse(bytes, message, error, &tree))
+        out.problems.push_back(error.problem(file, severity));
+    else
+        fill(message, tree, out);
+    if (!seal.good) out.problems.push_back({{file, 0, 0}, broken, Severity::incomplete});
+    return out;
+}
+
+std::string sealed(const std::string& body, std::uint64_t version) {
+    const std::string whole = body.empty() || body.back() == '\n' ? body : body + '\n';
+    return whole + "end { version: " + std::to_string(version) + " sha256: \"" + sha256(whole) + "\" }\n";
+}
+
+std::string sealAgain(const std::string& file, const std::string& bytes) {
+    NodeFile message;
+    FirstError error;
+    const std::string old = bytes.substr(0, sealOf(bytes).bodyBytes);
+    if (!parse(old, message, error, nullptr))
+        throw std::invalid_argument(error.problem(file, Severity::refused).text());
+    if (message.version() == 0)
+        throw std::invalid_argument(file + ": version: missing or 0, they count from 1");
+    // What a person wrote stays as it is, comments too; only a count that is wrong is put right.
+    std::string body = old;
+    if (message.count() != static_cast<std::uint64_t>(message.node_size())) {
+        const std::string count = "count: " + std::to_string(message.node_size());
+        const std::size_t at = body.starts_with("count:") ? 0 : body.find("\ncount:");
+        if (at == body.npos) {
+            body = count + '\n' + body;
+        } else {
+            const std::size_t from = at == 0 && body.starts_with("count:") ? 0 : at + 1;
+            body.replace(from, body.find_first_of("\n#", from) - from, count);
+        }
+    }
+    return sealed(body, message.version());
+}
+
+std::string encodeKept(const membership::Membership& membership) {
+    KeptVersion out;
+    out.set_version(membership.version);
+    out.set_digest(membership.digest);
+    for (const membership::Member& m : membership.members) {
+        if (m.leaving) continue;
+        Node& node = *out.add_node();
+        node.set_name(m.name);
+        node.set_dial(m.dial);
+        node.set_shard(static_cast<std::uint32_t>(m.shard));
+        node.set_weight(m.weight);
+        if (!m.rack.empty()) node.set_rack(m.rack);
+        if (m.state == membership::State::draining) node.set_state(DRAINING);
+        node.set_born_ms(std::llround(m.bornMs));
+    }
+    return sealed(printed(out), membership.version);
+}
+
+membership::Membership decodeKept(std::string_view bytes, std::string& problem) {
+    membership::Membership out;
+    KeptVersion message;
+    FirstError error;
+    if (!sealOf(bytes).good) {
+        problem = "not whole";
+    } else if (!parse(bytes, message, error, nullptr)) {
+        problem = error.problem("", Severity::refused).text();
+    } else if (message.version() == 0 || message.version() != message.end().version()) {
+        problem = "version: missing, or not the same at both ends";
+    } else {
+        out.version = message.version();
+        out.digest = message.digest();
+        for (const Node& node : message.node()) out.members.push_back(memberOf(node));
+    }
+    return out;
+}
+
+}  // namespace martencove::files
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -265,8 +265,12 @@
     }
     std::string wrong;
     if (!framedWell(request, wrong)) return refuse(request, wrong);
+    if (path == "/healthz" && ready_ && !ready_())
+        return reply(request, 503, "Service Unavailable", "no nodes\n");
     if (path == "/healthz") return reply(request, 200, "OK", "ok\n");
     if (path == "/counters") return reply(request, 200, "OK", desk_.counters().text());
+    if (const auto page = pages_.find(path); page != pages_.end())
+        return reply(request, 200, "OK", page->second());
     auto message = decodeMessage(request, site_, desk_.nowMs(), wrong);
     if (!message) return refuse(request, wrong);
     const Request decoded = message->request;
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -1,6 +1,7 @@
 // The platform's front: clients' requests over HTTP/1.1, to the desk and back.
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -24,6 +25,10 @@
     HttpFront(const HttpFront&) = delete;
     HttpFront& operator=(const HttpFront&) = delete;
 
+    /// Answers a GET of `path` with a text, as /counters does.
+    void page(const std::string& path, std::function<std::string()> text) { pages_[path] = std::move(text); }
+    /// GET /healthz answers 503 until `ready` says yes.
+    void readyWhen(std::function<bool()> ready) { ready_ = std::move(ready); }
     /// From now on each answer ends its connection.
     void drain() { draining_ = true; }
     /// Takes no new connections and closes those without a request in work.
@@ -69,6 +74,8 @@
         double sinceMs = 0;
     };
     std::map<bufferevent*, Unheard> unheard_;
+    std::map<std::string, std::function<std::string()>, std::less<>> pages_;
+    std::function<bool()> ready_;
     evhttp_bound_socket* socket_ = nullptr;
     Timer look_;
     Owned<evhttp> server_;  // last: its end closes the connections
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -1,211 +1,113 @@
-// martencove: a request scheduler for storage nodes. Wires the parts and runs until it is told to end.
+// martencove: a request scheduler for storage nodes. Reads the command line; src/cli does what it says.
+#include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
 #include <exception>
-#include <optional>
 #include <string>
+#include <vector>
 
-#include "config/config.h"
-#include "config/nbd_config.h"
-#include "core/desk.h"
-#ifdef MARTENCOVE_ETCD
-#include "etcd/source.h"
-#endif
-#include "http/front.h"
-#include "nbd/front.h"
-#include "net/discovery.h"
-#include "net/log.h"
-#include "net/loop.h"
-#include "net/peers.h"
-#ifdef MARTENCOVE_XDS
-#include "xds/server.h"
+#include "cli/program.h"
+#ifdef MARTENCOVE_OPERATOR
+#include "cli/nodes.h"
+#include "files/watch.h"
 #endif
 
-namespace martencove {
 namespace {
 
-/// What the operator's files ask for besides the platform's front.
-struct Extras {
-    std::optional<NbdConfig> nbd;
-#ifdef MARTENCOVE_ETCD
-    std::optional<etcd::Config> etcd;
-#endif
-#ifdef MARTENCOVE_XDS
-    std::optional<Address> xds;
-#endif
-};
+using namespace martencove;
 
-class Program {
-public:
-    Program(Config config, Extras extras)
-        : config_(std::move(config)),
-          base_(makeBase()),
-          log_(clock_, config_.limits),
-          tick_(base_.get(), [this] { desk_.tick(); }),
-          facade_(config_.site.module, config_.seed, clock_.nowMs(), config_.known),
-          desk_(facade_, clock_, config_.limits, counters_, ports(), config_.known),
-          pool_(base_.get(), clock_, config_.limits, counters_),
-          front_(base_.get(), config_.listen, desk_, pool_, config_.site, config_.limits, log_),
-          term_(base_.get(), SIGTERM, [this] { drain(); }),
-          interrupt_(base_.get(), SIGINT, [this] { drain(); }),
-          hangup_(base_.get(), SIGHUP, [this] { reload(); }),
-          usr1_(base_.get(), SIGUSR1, [this] { printCounters(); }),
-          end_(base_.get(), [this] { endSoon(); }) {
-        if (config_.peerListen)
-            peers_.emplace(base_.get(), *config_.peerListen, config_.peers, config_.limits, counters_, log_,
-                           [this](const PeerMessage& message) { desk_.hear(message); });
-        const auto told = [this](const NodeList& list) { desk_.learn(list); };
-#ifdef MARTENCOVE_ETCD
-        if (extras.etcd) etcd_.emplace(base_.get(), *extras.etcd, config_.limits, counters_, log_, told);
-        const bool watch = !extras.etcd;
+Extras readExtras(const std::string& file, Config& config) {
+#ifdef MARTENCOVE_OPERATOR
+    return file.empty() ? Extras{} : readOperator(file, config.site, config.limits);
 #else
-        const bool watch = true;
+    (void)config;
+    if (!file.empty()) throw ConfigError("--operator: not in this build (CMake option MARTENCOVE_OPERATOR)");
+    return {};
 #endif
-        if (watch)
-            discovery_.emplace(base_.get(), config_.discovery, config_.known.version, config_.limits,
-                               counters_, log_, told);
-        if (extras.nbd) {
-            nbdPool_.emplace(base_.get(), clock_, config_.limits, counters_);
-            nbdFront_.emplace(base_.get(), std::move(*extras.nbd), desk_, *nbdPool_, config_.limits, log_);
-        }
-#ifdef MARTENCOVE_XDS
-        if (extras.xds)
-            xds_.emplace(base_.get(), *extras.xds, config_.limits, counters_,
-                         [this] { return desk_.view(); });
-#endif
-        desk_.tick();
-        spdlog::info("{} listens on {}, {} nodes known", config_.name, config_.listen.text(),
-                     config_.known.nodes.size());
-    }
-
-    void run() {
-        event_base_dispatch(base_.get());
-        desk_.letGo();
-        printCounters();
-    }
-
-private:
-    DeskPorts ports() {
-        return {[this](double ms) { tick_.start(ms); },
-                [this](const PeerMessage& message) {
-                    peers_ ? peers_->tell(message) : counters_.add("peer_unsent");
-                },
-                [](const std::string& note) { spdlog::info("module: {}", note); }};
-    }
-
-    // Requests go on meanwhile: what a running program can take over is put in its place, nothing else moves.
-    void reload() {
-        try {
-            const Config next = readConfigAgain();
-            counters_.add("config_read");
-            spdlog::info("configuration read: discovery at {}", next.discovery.text());
-            for (const auto& [field, value] : config_.fixed) {
-                const auto now = next.fixed.find(field);
-                if (now == next.fixed.end() || now->second != value)
-                    spdlog::warn("configuration: {} differs, which waits for the next start", field);
-            }
-            if (discovery_) discovery_->moveTo(next.discovery);
-            if (peers_) peers_->reach(next.peers);
-        } catch (const std::exception& error) {
-            counters_.add("config_bad");
-            log_.warn("configuration", std::string("not taken, the old one stands: ") + error.what());
-        }
-    }
-
-    // New connections still come for a while, and what was taken is finished.
-    void drain() {
-        if (drainedMs_) return;
-        drainedMs_ = clock_.nowMs();
-        spdlog::info("ending: {} requests open", desk_.open());
-        front_.drain();
-        end_.start(config_.limits.drainAcceptMs);
-    }
+}
 
-    void endSoon() {
-        const double passedMs = clock_.nowMs() - *drainedMs_;
-        const Limits& limits = config_.limits;
-        front_.close();
-        if (nbdFront_) nbdFront_->close();
-        const bool quiet = passedMs >= limits.drainAcceptMs + limits.drainQuietMs && desk_.open() == 0 &&
-                           (!nbdFront_ || nbdFront_->quiet());
-        if (!quiet && passedMs < limits.drainMostMs) return end_.start(20);
-        spdlog::info("ended: {} requests open", desk_.open());
-        event_base_loopbreak(base_.get());
-    }
+int serve(const std::string& file) {
+    std::signal(SIGPIPE, SIG_IGN);
+    std::signal(SIGHUP, SIG_IGN);  // until there is a configuration to read anew
+    Config config = readConfig();
+    Extras extras = readExtras(file, config);
+    Program(std::move(config), std::move(extras)).run();
+    return 0;
+}
 
-    void printCounters() const {
-        std::string line;
-        for (const char c : counters_.text()) line += c == '\n' ? ',' : c;
-        spdlog::info("counters: {}", line);
+int check(const std::string& file) {
+    Config config = readConfig();
+    const Extras extras = readExtras(file, config);
+#ifdef MARTENCOVE_OPERATOR
+    if (extras.nodes) {
+        const int code = cli::checkNodes(extras.nodes->paths);
+        if (code != cli::kGood) return code;
     }
-
-    Config config_;
-    Clock clock_;
-    Counters counters_;
-    Owned<event_base> base_;
-    BoundedLog log_;
-    std::optional<Peers> peers_;
-    Timer tick_;
-    Facade facade_;
-    Desk desk_;
-    NodePool pool_;
-    std::optional<Discovery> discovery_;
-#ifdef MARTENCOVE_ETCD
-    std::optional<etcd::Source> etcd_;  // in discovery's place
-#endif
-    HttpFront front_;
-    std::optional<nbd::Pool> nbdPool_;
-    std::optional<nbd::Front> nbdFront_;
-#ifdef MARTENCOVE_XDS
-    std::optional<xds::Server> xds_;
-#endif
-    SignalWatch term_;
-    SignalWatch interrupt_;
-    SignalWatch hangup_;
-    SignalWatch usr1_;
-    Timer end_;
-    std::optional<double> drainedMs_;
-};
-
-/// The operator's files, by option.
-Extras readExtras(int argc, char** argv, limedrum::Site& site) {
-    Extras out;
-    for (int i = 1; i < argc; i += 2) {
-        const std::string option = argv[i];
-        const bool known = option == "--nbd" || option == "--etcd" || option == "--xds";
-        if (!known || i + 1 == argc)
-            throw ConfigError("usage: martencove [--nbd FILE] [--etcd FILE] [--xds FILE]");
-        const std::string file = argv[i + 1];
-        if (option == "--nbd") {
-            out.nbd = readNbdConfig(file, site);
-#ifdef MARTENCOVE_ETCD
-        } else if (option == "--etcd") {
-            out.etcd = etcd::readConfig(file);
-#endif
-#ifdef MARTENCOVE_XDS
-        } else if (option == "--xds") {
-            out.xds = xds::readConfig(file);
+#else
+    (void)extras;
 #endif
-        } else {
-            throw ConfigError(option + ": not in this build (CMake options MARTENCOVE_ETCD, MARTENCOVE_XDS)");
-        }
-    }
-    return out;
+    std::puts("configuration: good");
+    return 0;
 }
 
 }  // namespace
-}  // namespace martencove
 
 int main(int argc, char** argv) {
-    std::signal(SIGPIPE, SIG_IGN);
-    std::signal(SIGHUP, SIG_IGN);  // until there is a configuration to read anew
+    CLI::App app{
+        "martencove shares storage nodes fairly among volumes: it takes requests, decides which go to a "
+        "node now, which wait and which are refused, and answers each exactly once.",
+        "martencove"};
+    app.footer(
+        "NODE_CONFIG names the platform's configuration. Exit codes: 0 done, 1 it cannot be done, 2 wrong "
+        "usage, 3 what was checked is not fit to use.");
+    app.require_subcommand(0, 1);
+    std::string file;
+    app.add_option("--operator", file, "the operator's file (protobuf text format)")->type_name("FILE");
+    int code = 0;
+    std::function<int()> run = [&] { return serve(file); };
+
+    CLI::App* serving = app.add_subcommand("serve", "run the scheduler (what happens without a sub-command)");
+    serving->add_option("--operator", file, "the operator's file")->type_name("FILE");
+    CLI::App* checking = app.add_subcommand(
+        "check", "check the configuration, the operator's file and the files that it names");
+    checking->add_option("--operator", file, "the operator's file")->type_name("FILE");
+    checking->callback([&] { run = [&] { return check(file); }; });
+    app.add_subcommand("version", "print the version")->callback([&] {
+        run = [] {
+            std::puts("martencove " MARTENCOVE_VERSION);
+            return 0;
+        };
+    });
+#ifdef MARTENCOVE_OPERATOR
+    CLI::App* nodes = app.add_subcommand("nodes", "files of storage nodes");
+    nodes->require_subcommand(1);
+    std::vector<std::string> paths;
+    std::string before, after, one;
+    CLI::App* checkFiles = nodes->add_subcommand("check", "judge files of nodes as a start would");
+    checkFiles->add_option("path", paths, "files, or folders of *.textproto files")->required();
+    checkFiles->callback([&] { run = [&] { return cli::checkNodes(paths); }; });
+    CLI::App* diff = nodes->add_subcommand("diff", "tell the change from one version to another");
+    diff->add_option("before", before, "a file or folder")->required();
+    diff->add_option("after", after, "a file or folder")->required();
+    diff->callback([&] { run = [&] { return cli::diffNodes(before, after); }; });
+    CLI::App* seal =
+        nodes->add_subcommand("seal", "put a file's count and its last line right, after an edit");
+    seal->add_option("path", one, "the file")->required();
+    seal->callback([&] { run = [&] { return cli::sealNodes(one); }; });
+    CLI::App* show = nodes->add_subcommand("show", "ask a running scheduler for the version in force");
+    show->add_option("address", one, "where its clients connect, host:port")->required();
+    show->callback([&] { run = [&] { return cli::showNodes(one); }; });
+#endif
+    try {
+        app.parse(argc, argv);
+    } catch (const CLI::ParseError& error) {
+        return app.exit(error) == 0 ? 0 : 2;
+    }
     try {
-        martencove::Config config = martencove::readConfig();
-        martencove::Extras extras = martencove::readExtras(argc, argv, config.site);
-        martencove::Program(std::move(config), std::move(extras)).run();
+        code = run();
     } catch (const std::exception& error) {
         std::fprintf(stderr, "martencove: %s\n", error.what());
         return 1;
     }
-    return 0;
+    return code;
 }
--- /dev/null
+++ b/src/membership/checks.cpp
@@ -0,0 +1,242 @@
+#include "membership/checks.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <set>
+#include <string_view>
+#include <unordered_map>
+
+namespace martencove::membership {
+namespace {
+
+std::string number(std::uint64_t value) { return std::to_string(value); }
+std::string quoted(const std::string& text) { return '"' + text + '"'; }
+
+/// What one file alone shows of being whole.
+void checkWhole(const Draft& d, Problems& problems) {
+    for (const Problem& problem : d.problems) problems.add(problem.at, problem.reason, problem.severity);
+    if (!d.problems.empty()) return;
+    const auto incomplete = [&](const std::string& why) {
+        problems.add({d.file, 0, 0}, why, Severity::incomplete);
+    };
+    if (d.version == 0) problems.add({d.file, 0, 0}, "version: missing or 0, they count from 1");
+    if (d.version != d.endVersion)
+        incomplete("begins as version " + number(d.version) + " and ends as version " + number(d.endVersion));
+    if (d.count != d.members.size())
+        incomplete("count says " + number(d.count) + " nodes, there are " + number(d.members.size()));
+}
+
+bool goodName(const std::string& name) {
+    const auto good = [](char c) {
+        return (c >= 'a' && c <= 'z') || (c >= 'A' && c <= 'Z') || (c >= '0' && c <= '9') ||
+               std::string_view("-._").find(c) != std::string_view::npos;
+    };
+    return !name.empty() && name.size() <= 128 && std::all_of(name.begin(), name.end(), good);
+}
+
+/// "host:port" with a number for a port; what a host may be is for those who dial it.
+bool goodDial(const std::string& dial) {
+    const std::size_t colon = dial.rfind(':');
+    if (colon == dial.npos || colon == 0 || dial.size() > 256) return false;
+    const std::string port = dial.substr(colon + 1);
+    const auto digit = [](char c) { return c >= '0' && c <= '9'; };
+    return !port.empty() && port.size() <= 5 && std::all_of(port.begin(), port.end(), digit) &&
+           std::stoi(port) >= 1 && std::stoi(port) <= 65535;
+}
+
+std::string placeText(const Place& at) {
+    return at.line > 0 ? at.file + ':' + std::to_string(at.line) : at.file;
+}
+
+/// Weights of one shard's ready holders.
+struct Weights {
+    double least = INFINITY;  // of those above 0
+    double most = 0;
+    const DraftMember* first = nullptr;
+};
+
+void checkWeights(const std::map<int, Weights>& shards, const Rules& rules, Problems& problems) {
+    for (const auto& [shard, w] : shards) {
+        const std::string name = "shard " + std::to_string(shard);
+        if (w.most <= 0)
+            problems.add(w.first->at, "weight: all ready nodes of " + name + " have weight 0");
+        else if (w.most > w.least * rules.weightRatio)
+            problems.add(w.first->at, "weight: in " + name + " the largest is " +
+                                          std::to_string(std::llround(w.most / w.least)) +
+                                          " times the smallest, at most " +
+                                          std::to_string(std::llround(rules.weightRatio)) + " are taken");
+    }
+}
+
+/// What the permits that hold for this step let pass. Those of other steps are named in refusals.
+struct Allowed {
+    std::set<std::string> racks;
+    std::set<int> shards;
+    double fleetPart = 0;
+    bool other = false;
+};
+Allowed allowed(const std::vector<const Draft*>& parts, std::uint64_t from) {
+    Allowed out;
+    for (const Draft* d : parts) {
+        for (const Permit& permit : d->permits) {
+            if (permit.fromVersion != from) {
+                out.other = true;
+                continue;
+            }
+            out.racks.insert(permit.racks.begin(), permit.racks.end());
+            out.shards.insert(permit.shards.begin(), permit.shards.end());
+            out.fleetPart = std::max(out.fleetPart, permit.fleetPart);
+        }
+    }
+    return out;
+}
+
+}  // namespace
+
+void Problems::add(Place at, std::string reason, Severity severity) {
+    if (found_.size() >= most_) return void(++more_);
+    found_.push_back({std::move(at), std::move(reason), severity});
+}
+
+std::vector<Problem> Problems::take() {
+    if (more_ > 0) found_.push_back({{}, std::to_string(more_) + " more problems", found_.back().severity});
+    return std::move(found_);
+}
+
+std::vector<const Draft*> newest(const std::vector<Draft>& drafts, Problems& problems) {
+    for (const Draft& d : drafts) checkWhole(d, problems);
+    if (!problems.empty()) return {};
+    if (drafts.empty()) {
+        problems.add({}, "no files of nodes are there", Severity::incomplete);
+        return {};
+    }
+    const auto byVersion = [](const Draft& a, const Draft& b) { return a.version < b.version; };
+    const Draft& head = *std::max_element(drafts.begin(), drafts.end(), byVersion);
+    std::map<std::string, const Draft*> found;
+    const std::set<std::string> wanted(head.parts.begin(), head.parts.end());
+    if (wanted.size() != head.parts.size()) problems.add({head.file, 0, 0}, "parts: one is named twice");
+    if (wanted.empty() != head.part.empty() || (!wanted.empty() && !wanted.contains(head.part)))
+        problems.add({head.file, 0, 0}, "part: " + quoted(head.part) + " is not among the version's parts");
+    for (const Draft& d : drafts) {
+        if (d.version == head.version) {
+            if (d.parts != head.parts)
+                problems.add({d.file, 0, 0},
+                             "parts: differ from those in " + head.file + " of the same version");
+            else if (!found.emplace(d.part, &d).second)
+                problems.add({d.file, 0, 0},
+                             "part: " + quoted(d.part) + " is also " + found.at(d.part)->file);
+        } else if (wanted.contains(d.part)) {
+            problems.add({d.file, 0, 0},
+                         "part " + quoted(d.part) + " is still at version " + number(d.version) + ", " +
+                             head.file + " is at " + number(head.version),
+                         Severity::incomplete);
+        }  // a part that the version no longer names is left over
+    }
+    if (!problems.empty()) return {};
+    for (const std::string& part : wanted) {
+        if (!found.contains(part))
+            problems.add({head.file, 0, 0}, "part " + quoted(part) + " is not there", Severity::incomplete);
+    }
+    std::vector<const Draft*> out;
+    for (const auto& [part, d] : found) out.push_back(d);
+    return out;
+}
+
+void checkSound(const std::vector<const Draft*>& parts, const Rules& rules, double nowMs,
+                Problems& problems) {
+    std::unordered_map<std::string_view, const DraftMember*> names, dials;
+    std::map<int, Weights> shards;
+    std::size_t nodes = 0;
+    for (const Draft* d : parts) {
+        nodes += d->members.size();
+        for (const DraftMember& entry : d->members) {
+            const Member& m = entry.member;
+            const auto wrong = [&](const std::string& why) { problems.add(entry.at, why); };
+            if (!goodName(m.name))
+                wrong("name: " + quoted(m.name.substr(0, 128)) +
+                      " is not 1 to 128 letters, digits, '-', '.' or '_'");
+            else if (const auto [at, fresh] = names.emplace(m.name, &entry); !fresh)
+                wrong("name: " + quoted(m.name) + " is also in " + placeText(at->second->at));
+            if (!goodDial(m.dial))
+                wrong("dial: " + quoted(m.dial.substr(0, 128)) + " is not host:port");
+            else if (const auto [at, fresh] = dials.emplace(m.dial, &entry); !fresh)
+                wrong("dial: " + quoted(m.dial) + " is also the address of " +
+                      quoted(at->second->member.name) + " in " + placeText(at->second->at));
+            if (m.shard < 0 || (rules.shards > 0 && m.shard >= rules.shards))
+                wrong("shard: " + std::to_string(m.shard) + " is unknown" +
+                      (rules.shards > 0 ? ", they are numbered from 0 to " + std::to_string(rules.shards - 1)
+                                        : std::string()));
+            if (!std::isfinite(m.weight) || m.weight < 0) {
+                wrong("weight: not a number of 0 or more");
+                continue;
+            }
+            if (entry.bornTold && (!std::isfinite(m.bornMs) || m.bornMs < 0))
+                wrong("born_ms: not a time");
+            else if (m.bornMs > nowMs + rules.bornAheadMs)
+                wrong("born_ms: lies in the future");
+            if (m.state != State::ready) continue;
+            Weights& w = shards[m.shard];
+            if (w.first == nullptr) w.first = &entry;
+            w.most = std::max(w.most, m.weight);
+            if (m.weight > 0) w.least = std::min(w.least, m.weight);
+        }
+    }
+    if (nodes > rules.nodes)
+        problems.add({parts.front()->file, 0, 0},
+                     number(nodes) + " nodes, at most " + number(rules.nodes) + " are taken");
+    if (nodes == 0) problems.add({parts.front()->file, 0, 0}, "a version without any node");
+    checkWeights(shards, rules, problems);
+}
+
+void checkLoss(const Membership& before, const std::vector<Member>& after, std::size_t leaving,
+               const std::vector<const Draft*>& parts, const Rules& rules, Problems& problems) {
+    std::unordered_map<std::string_view, const Member*> kept;
+    std::set<std::string> racks;  // that serve afterwards
+    std::set<int> shards;
+    for (const Member& m : after) {
+        if (!m.serving()) continue;
+        kept.emplace(m.name, &m);
+        racks.insert(m.rack);
+        shards.insert(m.shard);
+    }
+    std::map<std::string, std::size_t> lostRacks;
+    std::map<int, std::size_t> lostShards;
+    std::size_t serving = 0, lost = 0;
+    for (const Member& m : before.members) {
+        if (!m.serving()) continue;
+        ++serving;
+        lost += !kept.contains(m.name);
+        if (!m.rack.empty() && !racks.contains(m.rack)) ++lostRacks[m.rack];
+        if (!shards.contains(m.shard)) ++lostShards[m.shard];
+    }
+    const Allowed may = allowed(parts, before.version);
+    const std::string from = number(before.version);
+    const Place head{parts.front()->file, 0, 0};
+    const std::string hint =
+        may.other ? " (a permit names another version than " + from + ", which is in force)" : "";
+    for (const auto& [rack, nodes] : lostRacks) {
+        if (may.racks.contains(rack)) continue;
+        problems.add(head, "would take every node of rack " + quoted(rack) + " out of service (" +
+                               number(nodes) + "); if this is meant, add: permit { from_version: " + from +
+                               " rack: " + quoted(rack) + " }" + hint);
+    }
+    for (const auto& [shard, nodes] : lostShards) {
+        if (may.shards.contains(shard)) continue;
+        problems.add(head, "would take every node of shard " + std::to_string(shard) + " out of service (" +
+                               number(nodes) + "); if this is meant, add: permit { from_version: " + from +
+                               " shard: " + std::to_string(shard) + " }" + hint);
+    }
+    // In small steps as in one: what left a moment ago counts too.
+    const double all = static_cast<double>(serving + leaving);
+    const double part = std::max(may.fleetPart, rules.mostLostPart);
+    const std::size_t gone = lost + leaving;
+    if (lost == 0 || gone <= 1 || static_cast<double>(gone) <= part * all * (1 + 1e-9)) return;
+    problems.add(head, "would take " + number(gone) + " of " + number(serving + leaving) +
+                           " nodes out of service within " +
+                           std::to_string(std::llround(rules.departMs / 1000)) +
+                           " s; if this is meant, add: permit { from_version: " + from + " fleet_part: " +
+                           std::to_string(static_cast<double>(gone) / all).substr(0, 4) + " }" + hint);
+}
+
+}  // namespace martencove::membership
--- /dev/null
+++ b/src/membership/checks.h
@@ -0,0 +1,40 @@
+// What makes a version of the node list complete, sound and safe to switch to. Pure functions; gate.h calls
+// them.
+#pragma once
+
+#include <string>
+#include <vector>
+
+#include "membership/gate.h"
+#include "membership/membership.h"
+
+namespace martencove::membership {
+
+/// Collects problems up to a bound and counts the rest.
+class Problems {
+public:
+    explicit Problems(std::size_t most) : most_(most) {}
+    void add(Place at, std::string reason, Severity severity = Severity::refused);
+    [[nodiscard]] bool empty() const { return found_.empty(); }
+    /// With a last one that says how many more there were.
+    [[nodiscard]] std::vector<Problem> take();
+
+private:
+    std::size_t most_;
+    std::size_t more_ = 0;
+    std::vector<Problem> found_;
+};
+
+/// The drafts that make up the newest version among them, in order of their parts' names; problems where
+/// they do not make one up, yet or at all.
+[[nodiscard]] std::vector<const Draft*> newest(const std::vector<Draft>& drafts, Problems& problems);
+
+/// Names, addresses, shards, weights and starts of one version's nodes.
+void checkSound(const std::vector<const Draft*>& parts, const Rules& rules, double nowMs, Problems& problems);
+
+/// What a switch from `before` to `after` would take away, against the guards and the permits.
+/// `leaving`: how many serving nodes have left already within the rule's time.
+void checkLoss(const Membership& before, const std::vector<Member>& after, std::size_t leaving,
+               const std::vector<const Draft*>& parts, const Rules& rules, Problems& problems);
+
+}  // namespace martencove::membership
--- /dev/null
+++ b/src/membership/membership.cpp
@@ -0,0 +1,110 @@
+#include "membership/membership.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <tuple>
+#include <unordered_set>
+
+namespace martencove::membership {
+namespace {
+
+Step stepOf(const Member& m) { return m.state == State::ready && !m.leaving ? Step::ready : Step::draining; }
+
+std::string figure(double value) {
+    char text[32];
+    std::snprintf(text, sizeof text, "%g", value);
+    return text;
+}
+
+/// Walks two lists that are sorted by name: `gone`, `came` and `stayed` are told of each name once.
+template <typename Gone, typename Came, typename Stayed>
+void compare(const Membership* before, const Membership& after, Gone gone, Came came, Stayed stayed) {
+    static const std::vector<Member> none;
+    const std::vector<Member>& old = before == nullptr ? none : before->members;
+    auto a = old.begin();
+    auto b = after.members.begin();
+    while (a != old.end() || b != after.members.end()) {
+        if (b == after.members.end() || (a != old.end() && a->name < b->name))
+            gone(*a++);
+        else if (a == old.end() || b->name < a->name)
+            came(*b++);
+        else
+            stayed(*a++, *b++);
+    }
+}
+
+}  // namespace
+
+std::string Problem::text() const {
+    std::string out = at.file;
+    if (at.line > 0) out += ':' + std::to_string(at.line);
+    if (at.line > 0 && at.column > 0) out += ':' + std::to_string(at.column);
+    return (out.empty() ? "" : out + ": ") + reason;
+}
+
+std::vector<Change> changes(const Membership* before, const Membership& after) {
+    std::vector<Change> out;
+    compare(
+        before, after,
+        [&](const Member& m) {
+            out.push_back({m, Step::gone});
+        },
+        [&](const Member& m) {
+            out.push_back({m, stepOf(m)});
+        },
+        [&](const Member& a, const Member& b) {
+            if (!(a == b)) out.push_back({b, stepOf(b)});
+        });
+    // A shard's changes stand together, so that whoever takes them in parts can take a shard whole. Shards
+    // that lose a node come first: work to it must stop in time.
+    std::unordered_set<int> urgent;
+    for (const Change& c : out) {
+        if (c.step != Step::ready) urgent.insert(c.member.shard);
+    }
+    std::stable_sort(out.begin(), out.end(), [&](const Change& a, const Change& b) {
+        return std::tuple(!urgent.contains(a.member.shard), a.member.shard) <
+               std::tuple(!urgent.contains(b.member.shard), b.member.shard);
+    });
+    return out;
+}
+
+std::vector<std::string> describe(const Membership* before, const Membership& after) {
+    std::vector<std::string> out;
+    std::size_t came = 0, left = 0, changed = 0, same = 0;
+    const auto line = [](const Member& m) {
+        std::string text =
+            m.name + " at " + m.dial + ", shard " + std::to_string(m.shard) + ", weight " + figure(m.weight);
+        if (!m.rack.empty()) text += ", rack " + m.rack;
+        if (m.leaving)
+            text += ", leaving";
+        else if (m.state == State::draining)
+            text += ", draining";
+        return text;
+    };
+    compare(
+        before, after, [&](const Member& m) { ++left, out.push_back("- " + line(m)); },
+        [&](const Member& m) { ++came, out.push_back("+ " + line(m)); },
+        [&](const Member& a, const Member& b) {
+            std::string what;
+            const auto differ = [&](const char* field, const std::string& x, const std::string& y) {
+                if (x != y) what += std::string(what.empty() ? " " : ", ") + field + ' ' + x + " -> " + y;
+            };
+            const auto state = [](const Member& m) {
+                return m.leaving ? "leaving" : m.state == State::ready ? "ready" : "draining";
+            };
+            differ("address", a.dial, b.dial);
+            differ("shard", std::to_string(a.shard), std::to_string(b.shard));
+            differ("weight", figure(a.weight), figure(b.weight));
+            differ("rack", a.rack, b.rack);
+            differ("state", state(a), state(b));
+            if (a.bornMs != b.bornMs) what += what.empty() ? " started anew" : ", started anew";
+            if (what.empty()) return void(++same);
+            ++changed;
+            out.push_back("~ " + a.name + what);
+        });
+    out.push_back(std::to_string(came) + " came, " + std::to_string(left) + " left, " +
+                  std::to_string(changed) + " changed, " + std::to_string(same) + " as before");
+    return out;
+}
+
+}  // namespace martencove::membership
--- a/src/net/node_list.cpp
+++ b/src/net/node_list.cpp
@@ -13,7 +13,7 @@
 NodeId nodeIdOf(const std::string& name) {
     std::uint64_t hash = 0xcbf29ce484222325ULL;
     for (const char c : name) hash = (hash ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
-    return static_cast<NodeId>(hash ^ (hash >> 32));
+    return static_cast<std::uint32_t>(hash ^ (hash >> 32));
 }
 
 namespace {
--- a/src/xds/server.cpp
+++ b/src/xds/server.cpp
@@ -10,9 +10,7 @@
 #include <set>
 #include <stdexcept>
 
-#include "config/config.h"
 #include "endpoint.pb.h"
-#include "settings_json/fields.h"
 #include "xds.grpc.pb.h"
 
 namespace martencove::xds {
@@ -209,17 +207,6 @@
     for (Stream* stream : streams_) stream->tell();
 }
 
-Address readConfig(const std::string& path) {
-    using namespace limedrum::fields;
-    try {
-        const auto listen = parseAddress(text(need(readJsonFile(path, "xds file"), "listen"), "listen"));
-        if (!listen) complain("listen", "not an address");
-        return *listen;
-    } catch (const FieldError& error) {
-        throw ConfigError("xds file: " + std::string(error.what()));
-    }
-}
-
 Server::Server(event_base* base, const Address& listen, const Limits& limits, Counters& counters,
                std::function<std::vector<NodeView>()> view)
     : limits_(limits),
--- a/src/xds/server.h
+++ b/src/xds/server.h
@@ -15,9 +15,6 @@
 
 namespace martencove::xds {
 
-/// Reads the operator's file. Throws ConfigError.
-[[nodiscard]] Address readConfig(const std::string& path);
-
 class Streams;
 
 /// gRPC serves the streams on threads of its own; the view reaches them as a snapshot, and nothing comes back
--- /dev/null
+++ b/tests/files/source_test.cpp
@@ -0,0 +1,298 @@
+// The program with storage nodes from files, between stand-in nodes and clients.
+#include <doctest/doctest.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+#include <filesystem>
+#include <fstream>
+#include <random>
+
+#include "files/node_file.h"
+#include "program/world.h"
+
+using namespace martencove;
+using namespace martencove::test;
+namespace fs = std::filesystem;
+
+namespace {
+
+struct FileWorld {
+    FileWorld() {
+        for (int i = 0; i < 4; ++i) nodes.push_back(std::make_unique<HttpNode>(world.base.get(), serve));
+        world.config.erase("discovery");
+        fs::create_directory(dir());
+        world.nodes = {{"path", file()}, {"depart_s", 1}, {"look_s", 0.2}};
+    }
+    std::string dir() const { return world.folder() + "/nodes.d"; }
+    std::string file() const { return dir() + "/nodes.textproto"; }
+    std::string entry(int i, const std::string& more = "") const {
+        return "node { name: \"s-" + std::to_string(i) + "\" dial: \"" + nodes[i]->listener.address.text() +
+               "\" shard: 5 rack: \"r" + std::to_string(i % 2) + "\" " + more + "}\n";
+    }
+    /// A version with these nodes.
+    std::string version(std::uint64_t number, const std::vector<int>& which,
+                        const std::string& more = "") const {
+        std::string out =
+            "version: " + std::to_string(number) + "\ncount: " + std::to_string(which.size()) + '\n' + more;
+        for (const int i : which) out += entry(i);
+        return files::sealed(out, number);
+    }
+    void put(const std::string& text) const { std::ofstream(file()) << text; }
+    std::string status() { return world.ask("GET /nodes HTTP/1.1\r\nHost: b\r\n\r\n").body; }
+    bool inForce(std::uint64_t number) {
+        return world.until(
+            [&] { return status().starts_with("version " + std::to_string(number) + " in force"); });
+    }
+    bool refused(const std::string& reason) {
+        return world.until([&] { return status().find(reason) != std::string::npos; });
+    }
+    int served(int requests) {
+        int good = 0;
+        for (int i = 0; i < requests; ++i)
+            good += world.ask(world.request("q" + std::to_string(++asked))).code() == 200;
+        return good;
+    }
+    World world;
+    std::vector<std::unique_ptr<HttpNode>> nodes;
+    int asked = 0;
+};
+
+}  // namespace
+
+TEST_CASE("files: a first version serves, a newer one takes over, a broken one changes nothing") {
+    FileWorld t;
+    t.put(t.version(1, {0}));
+    t.world.start();
+    CHECK(t.inForce(1));
+    CHECK(t.served(3) == 3);
+    CHECK(t.nodes[0]->requests.size() == 3);
+    t.put(t.version(2, {1}, "permit { from_version: 1 rack: \"r0\" }\n"));
+    CHECK(t.inForce(2));
+    CHECK(t.served(3) == 3);
+    CHECK(t.nodes[0]->requests.size() == 3);
+    t.put("version: 3\ncount: 1\nnode { name: \"x\" dial: \"nowhere\" shard: 5 }\n");
+    CHECK(t.refused("no line that begins with \"end {\""));
+    t.put(files::sealed("version: 3\ncount: 1\nnode { name: \"x\" dial: \"nowhere\" shard: 5 }\n", 3));
+    CHECK(t.refused("nodes.textproto:3:1: dial: \"nowhere\" is not host:port"));
+    CHECK(t.served(3) == 3);
+    CHECK(t.world.counter("files_refused") >= 1);
+    CHECK(t.world.log.find("not taken, version 2 stays in force") != std::string::npos);
+    // SIGUSR1 shows the same.
+    t.world.signal(SIGUSR1);
+    CHECK(
+        t.world.until([&] { return t.world.log.find("newest content not taken for") != std::string::npos; }));
+    CHECK(t.world.end() == 0);
+}
+
+TEST_CASE("files: a version without one rack is refused, a permit for the step lets it pass") {
+    FileWorld t;
+    t.put(t.version(1, {0, 1, 2, 3}));
+    t.world.start();
+    REQUIRE(t.inForce(1));
+    t.put(t.version(2, {0, 2}));
+    CHECK(t.refused("every node of rack \"r1\""));
+    t.put(t.version(3, {0, 2}, "permit { from_version: 1 rack: \"r1\" fleet_part: 0.5 }\n"));
+    CHECK(t.inForce(3));
+}
+
+TEST_CASE("files: without any whole version the program is not ready, then it is") {
+    FileWorld t;
+    t.put(t.version(1, {0}).substr(0, 60));
+    t.world.startUnready();
+    CHECK(t.world.ask("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n").code() == 503);
+    CHECK(t.world.ask(t.world.request("early", "", 400)).code() == 503);
+    t.put(t.version(1, {0}));
+    CHECK(
+        t.world.until([&] { return t.world.ask("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n").code() == 200; }));
+    CHECK(t.served(1) == 1);
+}
+
+TEST_CASE("files: what is no file of nodes is told of and harms nothing") {
+    FileWorld t;
+    t.put(t.version(1, {0}));
+    t.world.start();
+    REQUIRE(t.inForce(1));
+    const auto replace = [&](const auto& make) {
+        fs::remove_all(t.file());
+        make();
+    };
+    SUBCASE("NUL bytes") {
+        t.put(std::string(100'000, '\0'));
+        CHECK(t.refused("half written, or not sealed"));
+    }
+    SUBCASE("60 MB") {
+        t.put("");
+        fs::resize_file(t.file(), 60'000'000);
+        CHECK(t.refused("60000000 bytes, at most"));
+    }
+    SUBCASE("a FIFO") {
+        replace([&] { REQUIRE(mkfifo(t.file().c_str(), 0600) == 0); });
+        CHECK(t.refused("is not a regular file"));
+    }
+    SUBCASE("a folder: the files in it are meant") {
+        replace([&] { fs::create_directory(t.file()); });
+        CHECK(t.refused("no files of nodes are there"));
+    }
+    SUBCASE("the folder deleted and made again") {
+        fs::remove_all(t.dir());
+        CHECK(t.refused("cannot be opened"));
+        CHECK(t.served(2) == 2);
+        fs::create_directory(t.dir());
+    }
+    CHECK(t.served(2) == 2);
+    fs::remove_all(t.file());
+    t.put(t.version(2, {0, 1}));
+    CHECK(t.inForce(2));
+    CHECK(t.served(2) == 2);
+}
+
+TEST_CASE("files: a restart beside a broken file starts from the kept version and says so") {
+    FileWorld t;
+    t.world.nodes["keep"] = t.world.folder() + "/kept";
+    t.put(t.version(4, {0, 1}));
+    t.world.start();
+    REQUIRE(t.inForce(4));
+    REQUIRE(t.world.until([&] { return fs::exists(t.world.folder() + "/kept"); }));
+    SUBCASE("killed during a rewrite") {
+        t.put(t.version(5, {0, 1, 2}).substr(0, 100));
+        CHECK(t.world.end(SIGKILL) == 128 + SIGKILL);
+        t.world.start();
+        CHECK(t.status().find("from the kept copy") != std::string::npos);
+        CHECK(t.world.log.find("version 4 taken from the kept copy") != std::string::npos);
+        CHECK(t.served(2) == 2);
+        t.put(t.version(5, {0, 1, 2}));
+        CHECK(t.inForce(5));
+    }
+    SUBCASE("a kept version that was spoilt is not used") {
+        CHECK(t.world.end() == 0);
+        fs::resize_file(t.world.folder() + "/kept", 100);
+        t.world.start();
+        CHECK(t.world.log.find("kept version not used") != std::string::npos);
+        CHECK(t.inForce(4));  // from the file itself
+    }
+}
+
+// Under traffic the file is rewritten in every way, often halfway, the reader stopped and resumed at bad
+// moments. Each version names two of four nodes, in turn; the nodes' own records show which served when.
+TEST_CASE("files: a thousand rewrites under traffic") {
+    FileWorld t;
+    std::mt19937_64 random(20261202);
+    MESSAGE("seed 20261202");
+    const auto pair = [](std::uint64_t v) {
+        return v % 2 == 0 ? std::vector<int>{0, 1} : std::vector<int>{2, 3};
+    };
+    const std::string permit = "permit { from_version: ";
+    std::uint64_t inForce = 1;
+    t.world.nodes["most_lost"] = 1;
+    t.put(t.version(1, {0, 1, 2, 3}));
+    t.world.start();
+    REQUIRE(t.inForce(1));
+
+    int answered = 0, good = 0, sent = 0;
+    std::list<Wire> clients;
+    const auto send = [&] {
+        Wire& wire = clients.emplace_back(t.world.base.get(), t.world.listen);
+        wire.onData = [&](Wire& w) {
+            while (const auto answer = takeHttp(w.got)) {
+                ++answered;
+                good += answer->code() == 200;
+            }
+        };
+        wire.send(t.world.request("t" + std::to_string(++sent)));
+    };
+    const std::string link = t.world.folder() + "/now";
+    std::uint64_t number = 1;
+    const auto version = [&] {
+        ++number;
+        // Racks and shard change hands each time: meant, from whichever version is in force by then.
+        std::string permits;
+        for (std::uint64_t from = inForce; from < number; ++from)
+            permits +=
+                permit + std::to_string(from) + " rack: \"r0\" rack: \"r1\" shard: 5 fleet_part: 1 }\n";
+        return t.version(number, pair(number), permits);
+    };
+    for (int round = 0; round < 1000; ++round) {
+        const std::string text = version();
+        const std::size_t cut = random() % text.size();
+        switch (random() % 6) {
+            case 0:  // truncated and written, in two steps
+                t.put(text.substr(0, cut));
+                if (random() % 3 != 0) t.put(text);
+                break;
+            case 1: {  // overwritten in place, the old tail stays for a while
+                std::fstream out(t.file(), std::ios::in | std::ios::out);
+                out << text.substr(0, cut) << std::flush;
+                out << text.substr(cut);
+                out.close();
+                fs::resize_file(t.file(), text.size());
+                break;
+            }
+            case 2:  // renamed over
+                std::ofstream(t.dir() + "/next") << text;
+                fs::rename(t.dir() + "/next", t.file());
+                break;
+            case 3:  // left half written
+                t.put(text.substr(0, cut));
+                break;
+            case 4:  // deleted, and made anew
+                fs::remove(t.file());
+                t.put(text);
+                break;
+            case 5:  // behind a symbolic link
+                std::ofstream(t.dir() + "/v" + std::to_string(round % 2)) << text;
+                fs::remove(t.dir() + "/link");
+                fs::create_symlink("v" + std::to_string(round % 2), t.dir() + "/link");
+                fs::rename(t.dir() + "/link", t.file());
+                break;
+        }
+        if (round % 50 == 7) t.world.signal(SIGSTOP);
+        if (round % 50 == 9) t.world.signal(SIGCONT);
+        if (round % 4 == 0) send();
+        (void)t.world.until([] { return false; }, 1);
+        if (round % 100 == 99) {
+            // A checkpoint: a whole version comes into force, and only its nodes get what comes later.
+            fs::remove(t.file());
+            t.put(version());
+            REQUIRE(t.inForce(number));
+            inForce = number;
+            REQUIRE(t.world.until([&] { return answered == sent; }));
+            std::vector<std::size_t> before;
+            for (const auto& node : t.nodes) before.push_back(node->requests.size());
+            CHECK(t.served(4) == 4);
+            for (int i = 0; i < 4; ++i) {
+                const bool named = i == pair(number)[0] || i == pair(number)[1];
+                if (!named) CHECK(t.nodes[i]->requests.size() == before[i]);
+            }
+        }
+    }
+    REQUIRE(t.world.until([&] { return answered == sent; }));
+    const long long swaps = t.world.counter("files_accepted");
+    CHECK_MESSAGE(swaps > 200, swaps);
+    CHECK(good == sent);  // nothing lost, nothing failed, nothing refused
+    std::map<std::string, int> seen;
+    for (const auto& node : t.nodes)
+        for (const HttpText& request : node->requests) ++seen[request.header("Req-Id")];
+    for (const auto& [id, times] : seen) CHECK_MESSAGE(times == 1, id);
+    CHECK(t.world.end() == 0);
+}
+
+TEST_CASE("files: ten versions at once, the last one wins; two parts come into force together") {
+    FileWorld t;
+    t.world.nodes["path"] = t.dir();
+    t.put(t.version(1, {0, 1, 2}));
+    t.world.start();
+    REQUIRE(t.inForce(1));
+    for (std::uint64_t v = 2; v <= 11; ++v) t.put(t.version(v, {0, 1, 2, 3}));
+    CHECK(t.inForce(11));
+    const auto part = [&](const std::string& name, std::uint64_t v, int first) {
+        const std::string text = "version: " + std::to_string(v) + "\ncount: 2\npart: \"" + name +
+                                 "\"\nparts: \"a\" parts: \"b\"\n" + t.entry(first) + t.entry(first + 2);
+        std::ofstream(t.dir() + '/' + name + ".textproto") << files::sealed(text, v);
+    };
+    fs::remove(t.file());
+    part("a", 12, 0);
+    CHECK(t.refused("part \"b\" is not there"));
+    part("b", 12, 1);
+    CHECK(t.inForce(12));
+    CHECK(t.served(4) == 4);
+}
