--- a/examples/toy_node.cpp
+++ b/examples/toy_node.cpp
@@ -1,5 +1,5 @@
 // A toy world for a first try: a storage node that keeps objects in memory, and the discovery that names it.
-//   toy_node NODE_PORT DISCOVERY_PORT
+//   toy_node NODE_PORT [DISCOVERY_PORT]
 #include <event2/buffer.h>
 #include <event2/event.h>
 #include <event2/http.h>
@@ -48,8 +48,8 @@
 }  // namespace
 
 int main(int argc, char** argv) {
-    if (argc != 3) {
-        std::fputs("usage: toy_node NODE_PORT DISCOVERY_PORT\n", stderr);
+    if (argc != 2 && argc != 3) {
+        std::fputs("usage: toy_node NODE_PORT [DISCOVERY_PORT]\n", stderr);
         return 1;
     }
     Toy toy;
@@ -60,8 +60,8 @@
     evhttp_set_gencb(node.get(), store, &toy);
     evhttp_set_gencb(discovery.get(), list, &toy);
     if (evhttp_bind_socket(node.get(), "127.0.0.1", static_cast<std::uint16_t>(toy.nodePort)) != 0 ||
-        evhttp_bind_socket(discovery.get(), "127.0.0.1", static_cast<std::uint16_t>(std::atoi(argv[2]))) !=
-            0) {
+        (argc == 3 && evhttp_bind_socket(discovery.get(), "127.0.0.1",
+                                         static_cast<std::uint16_t>(std::atoi(argv[2]))) != 0)) {
         std::fputs("toy_node: cannot bind\n", stderr);
         return 1;
     }
--- a/src/files/source.cpp
+++ b/src/files/source.cpp
@@ -22,7 +22,7 @@
     out.name = m.name;
     out.dial = m.dial;
     out.shard = m.shard;
-    out.weight = m.weight;
+    out.weight = m.weight > 0 ? m.weight : 1;  // of weight 0: told as draining
     out.bornMs = m.bornMs;
     const bool nothing = change.step == membership::Step::draining || m.weight <= 0;
     out.state = change.step == membership::Step::gone ? NodeState::gone
--- a/src/files/source.h
+++ b/src/files/source.h
@@ -127,6 +127,8 @@
     void start(std::function<void(const NodeList&)> told);
 
     [[nodiscard]] std::string statusText() const;
+    /// Whether all that was taken from the thread has been told on.
+    [[nodiscard]] bool settled() const { return done_ >= now_.changes.size(); }
     [[nodiscard]] bool ready() const { return version_ > 0; }
 
 private:
--- a/src/limedrum/bids.cpp
+++ b/src/limedrum/bids.cpp
@@ -42,6 +42,17 @@
     return most;
 }
 
+std::map<int, std::map<CellId, Bid>> Gathered::takeSums() {
+    std::map<int, std::map<CellId, Bid>> sums;
+    for (const auto& [cell, bidders] : bids) {
+        Bid sum;
+        for (const auto& [host, bid] : bidders) sum += bid;
+        for (const auto& [host, bid] : bidders) sums[host][cell] = sum;
+    }
+    bids.clear();
+    return sums;
+}
+
 std::vector<std::string> writeBids(const BidMessage& message) {
     std::vector<std::string> texts;
     const std::string head = std::string(message.sums ? kSums : kBids) + ' ' + std::to_string(message.round);
@@ -61,7 +72,7 @@
     Reader read{text.substr(kBids.size())};
     if (!read.take(message.round, ' ')) return std::nullopt;
     while (!read.rest.empty()) {
-        int cell = 0;
+        CellId cell = 0;
         if (!read.take(cell, ' ')) return std::nullopt;
         Bid& bid = message.bids[cell];
         for (const auto figure : kFigures) {
--- a/src/limedrum/bids.h
+++ b/src/limedrum/bids.h
@@ -12,6 +12,9 @@
 
 namespace limedrum {
 
+/// What is queued, bid for and measured together: a shard by its number, or one weighted holder (laneOf()).
+using CellId = std::int64_t;
+
 /// One host's figures of a cell for the last round, or the sum of all bidders'.
 struct Bid {
     double offered = 0;   ///< units asked
@@ -27,7 +30,15 @@
 struct BidMessage {
     bool sums = false;
     std::uint64_t round = 0;
-    std::map<int, Bid> bids;  ///< by cell
+    std::map<CellId, Bid> bids;  ///< by cell
+};
+
+/// A round's bids, by cell and bidder, as the host that gathers them has heard them.
+struct Gathered {
+    std::map<CellId, std::map<int, Bid>> bids;
+
+    /// What each bidder is told: the sums of the cells for which it bid. Nothing is left.
+    [[nodiscard]] std::map<int, std::map<CellId, Bid>> takeSums();
 };
 
 /// A budget that all hosts share: 'n' and a node's number, or 'v' and the number of a volume's name.
--- a/src/limedrum/decide.cpp
+++ b/src/limedrum/decide.cpp
@@ -18,6 +18,7 @@
 #include <utility>
 
 #include "bids.h"
+#include "fleet.h"
 #include "settings.h"
 #include "state.h"
 
@@ -68,6 +69,8 @@
 constexpr double kValidMs = 100;        // ms from asking: what was dealt is void after it
 constexpr double kPriorUnits = 6;       // units that an even split of a volume weighs against what was seen
 constexpr double kLateTryMs = 5;        // ms: a life shorter than the class's by more shows a client's repeat
+constexpr std::size_t kLooks = 32;      // cells looked at for a new object, where there are more
+constexpr double kSpillAimPart = 0.25;  // of the aim: a wait for a cold holder's budget
 constexpr double kAbsurd = 1e6;         // units a round that no host can mean
 
 constexpr double kNever = std::numeric_limits<double>::infinity();
@@ -106,18 +109,18 @@
 
     std::vector<NodeView> view() const {
         std::vector<NodeView> out;
-        for (const auto& [id, n] : nodes_) {
+        for (const auto& [id, n] : fleet_.nodes) {
             if (n.state == NodeState::gone) continue;
-            const bool chosen = nodeOf(cells_.at(n.cell)) == &n;
-            out.push_back({id, n.cell, n.state, chosen, n.silentSinceMs > 0, n.rate});
+            const bool chosen = nodeOf(fleet_.cells.at(n.cell)) == &n;
+            out.push_back({id, n.shard, n.state, chosen, n.silentSinceMs > 0, n.rate});
         }
         return out;
     }
 
     std::size_t tableSize() const {
-        return requests_.size() + flights_.size() + nodes_.size() + volumes_.size() + lanes_.size() +
-               taken_.entries.size() + extras_.entries.size() + expiries_.size() + cells_.size() +
-               gathered_.size() + shares_.size() + tills_.size();
+        return requests_.size() + flights_.size() + fleet_.nodes.size() + volumes_.size() + lanes_.size() +
+               taken_.entries.size() + extras_.entries.size() + expiries_.size() + fleet_.cells.size() +
+               gathered_.bids.size() + shares_.size() + tills_.size();
     }
 
 private:
@@ -148,18 +151,9 @@
             return;
         }
         if (set_.listOnRequest && event.kind != ListKind::restored) askMs_ = kNever;
-        if (event.kind != ListKind::update) {
-            for (auto& [id, n] : nodes_) n.state = NodeState::gone;  // left out of a whole list: gone
-        }
+        if (event.kind != ListKind::update) fleet_.allGone();
         for (const NodeEntry& entry : event.entries) {
-            Node& n = nodes_[entry.node];
-            if (n.cell != entry.cell) std::erase(cells_[n.cell].holders, &n);
-            auto& holders = cells_[entry.cell].holders;
-            if (std::find(holders.begin(), holders.end(), &n) == holders.end()) holders.push_back(&n);
-            n.id = entry.node;
-            n.cell = entry.cell;
-            n.zone = entry.zone;
-            n.state = entry.state;
+            Node& n = fleet_.list(entry);
             const double boot = finiteOr(entry.bootMs, 0);
             if (boot > n.bootMs) {
                 n.bootMs = boot;
@@ -177,27 +171,81 @@
         return best;
     }
 
-    // A new object may go to any node: to the one that should answer it first.
-    int chooseCell(double units) {
+    // A new object may go to any node: to the one that should answer first, of a few drawn if they are many.
+    CellId chooseCell(double units) {
+        std::vector<Cell*> looks;
         double usual = 0;  // of a node not yet known
         int known = 0;
-        for (const auto& [id, n] : nodes_) usual += n.unitMs, known += n.unitMs > 0;
+        const auto learn = [&](const Node& n) { usual += n.unitMs, known += n.unitMs > 0; };
+        if (fleet_.open.size() <= kLooks) {
+            for (auto& [cell, c] : fleet_.cells) looks.push_back(&c);
+            for (const auto& [id, n] : fleet_.nodes) learn(n);
+        } else {
+            while (looks.size() < kLooks)
+                looks.push_back(fleet_.open[random_.below(static_cast<int>(fleet_.open.size()))]);
+            for (const Cell* c : looks) learn(*c->holders.front());
+        }
         usual = known > 0 ? usual / known : 1;
-        int best = -1;
+        CellId best = -1;
         double bestMs = kNever;
-        for (auto& [cell, c] : cells_) {
-            Node* n = nodeOf(c);
+        for (const Cell* c : looks) {
+            Node* n = nodeOf(*c);
             if (n == nullptr) continue;
-            const double work = (n->outUnits + c.queuedUnits + units) * (n->unitMs > 0 ? n->unitMs : usual);
+            const double work = (n->outUnits + c->queuedUnits + units) * (n->unitMs > 0 ? n->unitMs : usual);
             double ms = (n->delayMs + work) * (0.75 + 0.5 * random_.draw());
             if (pressed(*n)) ms += aimMs_;
-            if (coldBudget(coldSince(*n))) ms += 10 * aimMs_;
+            if (isCold(*n)) ms += 10 * aimMs_;
             if (n->silentSinceMs > 0) ms += 100 * aimMs_;
-            if (ms < bestMs) bestMs = ms, best = cell;
+            if (ms < bestMs) bestMs = ms, best = c->id;
         }
         return best;
     }
 
+    // Where a request goes next: its cell, or of weighted holders the one with the largest claim on its
+    // piece, away from `avoid`, from those that answer nothing and, if `calm`, from pressed and cold ones.
+    CellId route(const Request& r, const Node* avoid, bool calm) const {
+        const auto spread = fleet_.spreads.find(r.told.cell);
+        if (spread == fleet_.spreads.end()) return r.cell;
+        const std::uint64_t piece = hashOf(r.told.key.empty() ? r.told.id : r.told.key);
+        const Node* best = nullptr;
+        std::pair<int, double> bestRank;
+        for (const Node* n : spread->second) {
+            const int rank = n->state != NodeState::serving                                         ? 0
+                             : n == avoid || silentFor(*n) || (calm && (pressed(*n) || isCold(*n))) ? 1
+                                                                                                    : 2;
+            const std::pair own(rank, claimOf(piece, n->id, n->weight * warmth(*n)));
+            if (best == nullptr || own > bestRank) best = n, bestRank = own;
+        }
+        return bestRank.first < 2 && avoid != nullptr ? r.cell : best->cell;
+    }
+
+    // What waits for a weighted holder that serves no more goes to another.
+    void leave(const Cell& c) {
+        for (const auto& [due, id] : std::set(c.queue)) {
+            Request& r = requests_.at(id);
+            const CellId to = r.told.cell < 0 ? chooseCell(r.told.units) : route(r, nullptr, false);
+            if (to != -1 && to != r.cell) fleet_.move(r, to);
+        }
+    }
+
+    // The part of its work that a node may take while it may be cold.
+    double warmth(const Node& n) const {
+        const double share = set_.rules.coldShare;
+        const double part = (now_ - coldSince(n)) / std::max(set_.rules.warmWithinMs, 1.0);
+        return isCold(n) ? std::clamp(share + (1 - share) * part, 0.01, 1.0) : 1;
+    }
+    bool isCold(const Node& n) const { return coldBudget(coldSince(n)).has_value(); }
+
+    // What a holder not yet measured can do, by its weight against those that are.
+    double believedRate(const Node& n) const {
+        double rate = 0, weight = 0;
+        const auto spread = fleet_.spreads.find(n.shard);
+        if (n.weight <= 0 || spread == fleet_.spreads.end()) return 0;
+        for (const Node* other : spread->second)
+            if (other->rate > 0) rate += other->rate, weight += other->weight;
+        return weight > 0 ? n.weight * rate / weight : 0;
+    }
+
     // ---- Requests ----
 
     void on(const RequestEvent& event) {
@@ -226,37 +274,49 @@
         const double age = life - left > kLateTryMs ? life - left : 0;
         r.lateTry = age > cls.aimMs;
         r.dueMs = r.lateTry ? r.told.expiresMs : std::min(now_ + cls.aimMs - age, r.told.expiresMs);
-        r.cell = event.cell >= 0 ? event.cell : chooseCell(r.told.units);
+        r.cell = event.cell;
+        r.cell = event.cell >= 0 ? route(r, nullptr, false) : chooseCell(r.told.units);
         if (ordered(r)) lanes_.enter(event.key, event.id);
 
         Volume& v = volumes_[event.volume];
         v.plan = r.told.planNo;
         v.hosts = std::max(v.hosts, r.told.hostsOfVolume);
         v.seenMs = now_;
-        Cell& c = cells_[r.cell];
-        Demand& d = c.volumes[event.volume];
-        if (!r.lateTry) {  // repeats do not inflate what this host bids
-            c.offered += r.told.units;
-            d.now += r.told.units;
-            d.byWorth[cls.worth].now += r.told.units;
-            v.now += r.told.units;
+        if (!r.lateTry) v.now += r.told.units;  // repeats do not inflate what this host bids
+        offer(r);
+        Node* n = nodeOf(fleet_.cells[r.cell]);
+        // What its holder has no room for goes to another that is not pressed.
+        bool over = n != nullptr && !silentFor(*n) && thinned(fleet_.cells[r.cell], *n, r);
+        if (const CellId to = over ? route(r, n, true) : r.cell; to != r.cell) {
+            r.cell = to;
+            offer(r);
+            n = nodeOf(fleet_.cells[to]);
+            over = false;
         }
-        Node* n = nodeOf(c);
+        Cell& c = fleet_.cells[r.cell];
+        Demand& d = c.volumes[event.volume];
         const PlanSettings& plan = planOf(v.plan);
-        const bool silent = n != nullptr && n->silentSinceMs > 0 && now_ - n->trickledMs < kTrickleMs;
+        const bool silent = n != nullptr && silentFor(*n);
         r.merit = cls.worth * plan.worthFactor * (r.lateTry ? cls.lateWorth : 1);
         if (silent) return finish(event.id, silentNode);
-        if (n != nullptr && thinned(c, *n, r)) return finish(event.id, thin);
+        if (over) return finish(event.id, thin);
         if (n != nullptr && d.fair > 0) {
             const double asked = expectedRate(d.now, d.last);
             if (asked > d.fair)
                 r.merit *= set_.withinShare * d.fair / asked + set_.spareWorth * (1 - d.fair / asked);
         }
         c.spent += r.told.units;
-        enqueue(r);
+        fleet_.enqueue(r);
         pump(r.cell);
     }
 
+    bool silentFor(const Node& n) const { return n.silentSinceMs > 0 && now_ - n.trickledMs < kTrickleMs; }
+
+    void offer(const Request& r) {
+        fleet_.live.insert(r.cell);
+        fleet_.cellOf(r.cell).offer(r.told.volume, classOf(r).worth, r.lateTry ? 0 : r.told.units);
+    }
+
     // Units a second to expect in the rest of the round: as in the last round, or as this round shows a
     // surge.
     double expectedRate(double seen, double last) const {
@@ -334,6 +394,7 @@
 
     bool thinned(Cell& c, Node& n, const Request& r) {
         workOutChances(c, n);
+        if (pressed(n) && n.rate <= 0) n.rate = believedRate(n);
         if (!pressed(n) || n.rate <= 0) return false;
         // A repeat past its aim earns least of all: it goes only where all else is expected to fit.
         const double rest = expectedRate(c.offered, c.lastOffered) * (roundStartMs_ + kRoundMs - now_) / 1000;
@@ -341,23 +402,6 @@
         return random_.draw() >= c.volumes[r.told.volume].byWorth[classOf(r).worth].chance;
     }
 
-    void enqueue(Request& r) {
-        if (r.queued) return;
-        r.queued = true;
-        Cell& c = cells_[r.cell];
-        c.queue.emplace(r.dueMs, r.told.id);
-        c.queuedUnits += r.told.units;
-        active_.insert(r.cell);
-    }
-
-    void dequeue(Request& r) {
-        if (!r.queued) return;
-        r.queued = false;
-        Cell& c = cells_[r.cell];
-        c.queue.erase({r.dueMs, r.told.id});
-        c.queuedUnits = c.queue.empty() ? 0 : c.queuedUnits - r.told.units;
-    }
-
     // ---- The rules' guards ----
 
     // Since when a node may be cold; 0: it is not. Back from a long silence it is taken for cold until the
@@ -406,22 +450,13 @@
         r.shortOf = id;
         const bool waits =
             r.asks > 0 && now_ - r.askedMs < kValidMs && s.deniedMs[r.asks % kKeepers] < r.askedMs;
-        if (!set_.mayTellPeers || waits || denied(s)) return false;
+        if (!set_.mayTellPeers || waits || s.denied(kKeepers, now_ - kValidMs / 2)) return false;
         r.askedMs = now_;
         const int half = ++r.asks % kKeepers;
         pass(keeper(id, half), {BudgetMessage::ask, id, half, figure, r.told.units, now_});
         return enough();  // it may be this host that keeps it
     }
 
-    // Whether every keeper said no a moment ago.
-    bool denied(const Share& s) const {
-        for (int part = 0; part < kKeepers; ++part) {
-            const auto at = s.deniedMs.find(part);
-            if (at == s.deniedMs.end() || at->second <= now_ - kValidMs / 2) return false;
-        }
-        return true;
-    }
-
     // Nothing of a cold node's budget where a host's part is under one request: the keepers have all.
     double evenPart(BudgetId id) const {
         if (!set_.mayTellPeers) return 1;
@@ -453,8 +488,8 @@
     void on(int sender, const BudgetMessage& m) {
         const bool cold = m.id.first == 'n';
         if (m.units > kAbsurd || m.part < 0 || m.part >= kKeepers) return;
-        const auto n = nodes_.find(static_cast<NodeId>(m.id.second));
-        if (cold ? n == nodes_.end() || m.figure > now_ + kRoundMs
+        const auto n = fleet_.nodes.find(static_cast<NodeId>(m.id.second));
+        if (cold ? n == fleet_.nodes.end() || m.figure > now_ + kRoundMs
                  : m.figure >= static_cast<double>(set_.plans.size()))
             return;
         // Of two starts the later has the smaller budget.
@@ -506,7 +541,7 @@
     }
 
     void send(Request& r, Node& n) {
-        dequeue(r);
+        fleet_.dequeue(r);
         if (!r.drawn) draw({'v', hashOf(r.told.volume)}, limitBudget(r.told.planNo), r.told.units);
         r.drawn = true;
         draw({'n', n.id}, coldBudget(coldSince(n)), r.told.units);
@@ -519,14 +554,14 @@
         ++n.unheard;
         watched_.emplace(now_ + patience(n, r.told.units), FlightId(r.told.id, r.attempts));
         n.outUnits += r.told.units;
-        active_.insert(r.cell);
+        fleet_.active.insert(r.cell);
         ++r.attempts;
         ++r.out;
         actions_.push_back(Send{r.told.id, n.id, r.told.expiresMs - now_});
     }
 
-    void pump(int cell) {
-        Cell& c = cells_[cell];
+    void pump(CellId cell) {
+        Cell& c = fleet_.cells[cell];
         Node* n = nodeOf(c);
         if (n == nullptr || c.queue.empty()) return;
         const double most = bound(c, *n);
@@ -537,8 +572,8 @@
                 if (now_ - n->trickledMs < kTrickleMs || n->outCount >= kCeiling) return;
             } else if (n->outCount >= kCeiling ||
                        (n->outCount >= fewOut(*n) && n->outUnits + r.told.units > most)) {
-                const bool cold = coldBudget(coldSince(*n)).has_value();  // then its budget held it
-                if (!cold && now_ - r.takenMs > kHeldAimPart * aimMs_) press(*n);
+                if (!isCold(*n) && now_ - r.takenMs > kHeldAimPart * aimMs_)
+                    press(*n);  // else its budget held it
                 return;
             }
             if (!maySend(r, *n)) continue;
@@ -552,6 +587,7 @@
     // its aim.
     void shed(Cell& c, Node& n) {
         std::vector<std::pair<RequestId, Cause>> dropped;
+        std::vector<std::pair<RequestId, CellId>> moved;
         const bool waits = n.silentSinceMs > 0;
         const bool tight = waits || (pressed(n) && n.rate > 0);
         const double rate = slice(c, n) / kRoundMs * 1000 * kShedHope;  // units a second
@@ -560,6 +596,14 @@
         for (const auto& [due, id] : c.queue) {
             const Request& r = requests_.at(id);
             if (r.out > 0) continue;
+            // The other holders take what one that is silent, or cold beyond its budget, cannot.
+            const bool away = waits || (r.shortOf && r.shortOf->first == 'n' &&
+                                        (shares_[*r.shortOf].denied(kKeepers, now_ - kValidMs / 2) ||
+                                         now_ - r.takenMs > kSpillAimPart * aimMs_));
+            if (const CellId to = away ? route(r, &n, !waits) : r.cell; to != r.cell) {
+                moved.emplace_back(id, to);
+                continue;
+            }
             if (r.shortOf && now_ >= due) {
                 dropped.emplace_back(id, r.shortOf->first == 'v' ? overLimit : coldNode);
                 continue;
@@ -575,6 +619,7 @@
             kept.erase({w.merit, worst});
             dropped.emplace_back(worst, waits ? silentNode : tooLate);
         }
+        for (const auto& [id, to] : moved) fleet_.move(requests_.at(id), to);
         for (const auto& [id, cause] : dropped) finish(id, cause);
     }
 
@@ -591,7 +636,7 @@
             lanes_.ended(flight.key, event.id, unsure ? now_ + set_.rules.orderPauseMs : 0);
         const bool answered = event.outcome == Outcome::done || event.outcome == Outcome::error ||
                               event.outcome == Outcome::full;
-        if (const auto nodeAt = nodes_.find(flight.node); nodeAt != nodes_.end()) {
+        if (const auto nodeAt = fleet_.nodes.find(flight.node); nodeAt != fleet_.nodes.end()) {
             Node& n = nodeAt->second;
             if (!flight.lost) n.leave(flight.units);
             if (answered) {
@@ -610,7 +655,9 @@
             }
             if (event.outcome == Outcome::full) press(n);
             // The node did the work of an answer that was lost: it has answered what was sent later.
-            if (unsure && n.answeredSentMs > flight.sentMs) cells_[flight.cell].now.served += flight.units;
+            fleet_.live.insert(flight.cell);
+            if (unsure && n.answeredSentMs > flight.sentMs)
+                fleet_.cells[flight.cell].now.served += flight.units;
             if (event.outcome == Outcome::done && flight.units > 0) {
                 const double took = finiteOr(event.tookMs, 0);
                 if (n.unitMs <= 0) n.unitMs = took / flight.units;
@@ -624,8 +671,8 @@
                     n.pressedUntilMs = std::min(n.pressedUntilMs, n.signMs + kPressHoldMs);
                 if (!pressed(n))
                     n.unitMs *= 1 + kUsualStep * (over > 0 ? kUsualQuantile : kUsualQuantile - 1);
-                cells_[flight.cell].now.served += flight.units;
-                if (feltPressed(n)) cells_[flight.cell].now.pressed += flight.units;
+                fleet_.cells[flight.cell].now.served += flight.units;
+                if (feltPressed(n)) fleet_.cells[flight.cell].now.pressed += flight.units;
             }
         }
         if (const auto v = volumes_.find(flight.volume); v != volumes_.end()) {
@@ -645,7 +692,11 @@
             const bool pointless = event.outcome == Outcome::moot || event.outcome == Outcome::timedOut ||
                                    r.streaming || r.notBeforeMs >= r.told.expiresMs - set_.tickMs;
             const bool over = pointless || !mayRepeat(r, r.ranMs) || !budgetAllows();
-            over ? finish(event.id, retrySpent) : enqueue(r);
+            if (over) return finish(event.id, retrySpent), pump(flight.cell);
+            if (const auto at = fleet_.nodes.find(flight.node); at != fleet_.nodes.end())
+                r.cell = route(r, &at->second, false);
+            fleet_.enqueue(r);
+            if (r.cell != flight.cell) pump(r.cell);
         }
         pump(flight.cell);
     }
@@ -669,10 +720,12 @@
         const bool harmless = cls.repeat == Repeat::safe || (r.out == 0 && r.ranMs == kNever) ||
                               (cls.repeat == Repeat::keyed && cls.group == RepeatGroup::all);
         // Soon enough to be in time still; where nobody answers, as late as a client will come.
-        const Node* n = nodeOf(cells_[r.cell]);
+        const Node* n = nodeOf(fleet_.cells[r.cell]);
         const double backMs = n == nullptr || n->silentSinceMs > 0 ? set_.maxRetryAfterMs : kComeBackMs;
-        const Action refuse = Refuse{id, std::min(backMs, set_.maxRetryAfterMs)};
-        actions_.push_back(harmless ? refuse : Action(Fail{id}));
+        if (harmless)
+            actions_.push_back(Refuse{id, std::min(backMs, set_.maxRetryAfterMs)});
+        else
+            actions_.push_back(Fail{id});
         forget(id);
     }
 
@@ -681,7 +734,7 @@
         const auto at = requests_.find(id);
         if (at == requests_.end()) return;
         Request& r = at->second;
-        dequeue(r);
+        fleet_.dequeue(r);
         if (set_.mayCancel && r.out > 0 && !r.streaming) {
             for (auto f = flights_.lower_bound({id, 0}); f != flights_.end() && f->first.first == id; ++f)
                 actions_.push_back(Cancel{id, f->first.second});
@@ -702,6 +755,9 @@
         n.silentSinceMs = std::max(n.heardMs, 1.0);
         n.trickledMs = now_;
         say("node " + std::to_string(n.id) + " answers nothing");
+        if (n.weight <= 0) return;
+        for (const auto& [id, f] : flights_)  // another holder may answer
+            if (f.node == n.id) callOff(id, f, n, aimMs_);
     }
 
     void lookAt(Request& r, double ms) {
@@ -724,8 +780,8 @@
             const auto at = flights_.find(id);
             if (at == flights_.end()) continue;
             Flight& f = at->second;
-            const auto node = nodes_.find(f.node);
-            if (node == nodes_.end()) continue;
+            const auto node = fleet_.nodes.find(f.node);
+            if (node == fleet_.nodes.end()) continue;
             Node& n = node->second;
             const double wait = patience(n, f.units);
             if (n.answeredSentMs <= f.sentMs + wait / 2) {  // not overtaken
@@ -734,17 +790,22 @@
             }
             if (!f.lost) n.leave(f.units);
             f.lost = true;
-            const auto held = requests_.find(id.first);
-            if (!set_.mayCancel || held == requests_.end()) continue;
-            Request& r = held->second;
-            const bool worth =
-                !r.streaming && now_ + wait / 2 < r.told.expiresMs && nodeOf(cells_[r.cell]) == &n;
-            if (!worth || !mayRepeat(r, std::min(r.ranMs, f.sentMs)) || !budgetAllows()) continue;
-            r.givenUp = true;
-            actions_.push_back(Cancel{id.first, id.second});
+            callOff(id, f, n, wait / 2);
         }
     }
 
+    // Calls an attempt off to repeat it, as class, cap and budget allow and its time may still serve.
+    void callOff(const FlightId& id, const Flight& f, const Node& n, double neededMs) {
+        const auto held = requests_.find(id.first);
+        if (!set_.mayCancel || held == requests_.end()) return;
+        Request& r = held->second;
+        const bool worth = !r.streaming && now_ + neededMs < r.told.expiresMs &&
+                           nodeOf(fleet_.cells[r.cell]) == &n && !r.givenUp;
+        if (!worth || !mayRepeat(r, std::min(r.ranMs, f.sentMs)) || !budgetAllows()) return;
+        r.givenUp = true;
+        actions_.push_back(Cancel{id.first, id.second});
+    }
+
     void sweep() {
         while (!expiries_.empty() && expiries_.begin()->first - set_.tickMs <= now_) {
             Request& r = requests_.at(expiries_.begin()->second);
@@ -765,8 +826,8 @@
     }
 
     void pumpAll() {
-        for (const int cell : std::vector<int>(active_.begin(), active_.end())) {
-            Cell& c = cells_[cell];
+        for (const CellId cell : std::vector<CellId>(fleet_.active.begin(), fleet_.active.end())) {
+            Cell& c = fleet_.cells[cell];
             Node* n = nodeOf(c);
             if (n != nullptr) {
                 if (feltPressed(*n)) n->pressedMs += std::min(now_ - n->sweptMs, 2 * kSweepMs);
@@ -775,10 +836,11 @@
                 shed(c, *n);
                 pump(cell);
             } else {
+                if (cell < 0) leave(c);
                 while (!c.queue.empty() && c.queue.begin()->first <= now_)
                     finish(RequestId(c.queue.begin()->second), silentNode);
             }
-            if (c.queue.empty() && (n == nullptr || n->outCount == 0)) active_.erase(cell);
+            if (c.queue.empty() && (n == nullptr || n->outCount == 0)) fleet_.active.erase(cell);
         }
     }
 
@@ -799,7 +861,8 @@
         turnedAway_ = {};
         const double lengthMs = std::max(now_ - roundStartMs_, 1.0);
         roundStartMs_ = std::floor(now_ / kRoundMs) * kRoundMs;
-        for (auto& [cell, c] : cells_) {
+        for (const CellId cell : fleet_.live) {
+            Cell& c = fleet_.cells[cell];
             if (Node* n = nodeOf(c)) n->lastPressedMs = std::exchange(n->pressedMs, 0);
             if (c.sumMs < roundStartMs_ - kRoundMs) learnRate(c, c.own);  // nobody told a sum
             c.endRound();
@@ -822,27 +885,25 @@
         const double before = now_ - longestMs_ - kValidMs - set_.tickMs;
         eraseIdle(shares_, before);
         eraseIdle(tills_, before);
-        std::erase_if(nodes_, [this](auto& e) {
-            if (e.second.state != NodeState::gone || e.second.outCount > 0) return false;
-            std::erase(cells_[e.second.cell].holders, &e.second);
-            return true;
-        });
+        fleet_.forgetGone();
         lanes_.tidy(now_);
         taken_.trim(now_ - set_.rules.budgetWindowMs);
         bid();
+        fleet_.rest();
     }
 
     // The host that gathers a cell's bids in this round: another one each round, known to all without a word,
     // so that a dead one costs a round. (Bids from all to all grow with the square of the hosts.)
-    int auctioneer(int cell) const {
+    int auctioneer(CellId cell) const {
         return Random(roundAt(now_) * 0x10001 + static_cast<std::uint64_t>(cell)).below(set_.hosts);
     }
 
     void bid() {
-        gathered_.clear();
+        gathered_.bids.clear();
         tellSumsMs_ = roundStartMs_ + kCollectMs;
-        std::map<int, std::map<int, Bid>> bids;  // by auctioneer
-        for (const auto& [cell, c] : cells_) {
+        std::map<int, std::map<CellId, Bid>> bids;  // by auctioneer
+        for (const CellId cell : fleet_.live) {
+            const Cell& c = fleet_.cells[cell];
             if (c.own.reserved + c.own.weighed + c.own.served > 0) bids[auctioneer(cell)][cell] = c.own;
         }
         for (const auto& [host, own] : bids) tell(host, {false, roundAt(now_), own});
@@ -850,14 +911,7 @@
 
     void tellSums() {
         tellSumsMs_ = kNever;
-        std::map<int, std::map<int, Bid>> sums;  // by bidder
-        for (const auto& [cell, bidders] : gathered_) {
-            Bid sum;
-            for (const auto& [host, bid] : bidders) sum += bid;
-            for (const auto& [host, bid] : bidders) sums[host][cell] = sum;
-        }
-        gathered_.clear();
-        for (const auto& [host, sum] : sums) tell(host, {true, roundAt(now_), sum});
+        for (const auto& [host, sum] : gathered_.takeSums()) tell(host, {true, roundAt(now_), sum});
     }
 
     void tell(int to, const BidMessage& message) {
@@ -868,11 +922,11 @@
 
     void take(int sender, const BidMessage& message) {
         for (const auto& [cell, bid] : message.bids) {
-            const auto at = cells_.find(cell);
+            const auto at = fleet_.cells.find(cell);
             const int host = auctioneer(cell);
-            if (at == cells_.end() || host != (message.sums ? sender : set_.self)) continue;
+            if (at == fleet_.cells.end() || host != (message.sums ? sender : set_.self)) continue;
             if (!message.sums) {
-                gathered_[cell][sender] = bid;
+                gathered_.bids[cell][sender] = bid;
             } else if (bid.hosts <= set_.hosts) {
                 at->second.sum = bid;
                 at->second.sumMs = now_;
@@ -934,15 +988,13 @@
     std::set<std::pair<double, RequestId>> expiries_;
     std::map<FlightId, Flight> flights_;
     std::set<std::pair<double, FlightId>> watched_;  // when an attempt is next looked at
-    std::map<NodeId, Node> nodes_;
-    std::map<int, Cell> cells_;
+    Fleet fleet_;
     std::map<std::string, Volume> volumes_;
     Lanes lanes_;
-    std::map<BudgetId, Share> shares_;            // this host's use of budgets that all share
-    std::map<BudgetId, Till> tills_;              // those that this host keeps
-    std::set<int> active_;                        // cells with work held or out
-    std::map<int, std::map<int, Bid>> gathered_;  // this round's bids, by cell and bidder
-    Window taken_;  // requests, and attempts beyond their first, within the rule's window
+    std::map<BudgetId, Share> shares_;  // this host's use of budgets that all share
+    std::map<BudgetId, Till> tills_;    // those that this host keeps
+    Gathered gathered_;                 // this round's bids
+    Window taken_;                      // requests, and attempts beyond their first, within the rule's window
     Window extras_;
 };
 
--- a/src/limedrum/state.h
+++ b/src/limedrum/state.h
@@ -91,6 +91,12 @@
     Window dealt;                    // by the keepers, by when it was asked for
     std::map<int, double> deniedMs;  // by each of them, last
 
+    /// Whether each of the keepers said no after that time.
+    bool denied(int keepers, double sinceMs) const {
+        int said = 0;
+        for (const auto& [keeper, ms] : deniedMs) said += keeper < keepers && ms > sinceMs;
+        return said >= keepers;
+    }
     bool idle(double beforeMs) {
         dealt.trim(beforeMs);
         return own.idle(beforeMs) && dealt.entries.empty();
@@ -116,7 +122,7 @@
     double dueMs = 0;
     double lookMs = 0;  // when its time is looked at: part of it has passed, then all
     double merit = 0;   // worth a unit: what shedding compares
-    int cell = -1;
+    CellId cell = -1;
     int attempts = 0;
     int out = 0;
     bool lateTry = false;  // a client's repeat whose aim has passed
@@ -132,7 +138,7 @@
 };
 struct Flight {
     NodeId node = 0;
-    int cell = 0;
+    CellId cell = 0;
     double sentMs = 0;
     double units = 0;
     bool lost = false;  // no answer is expected any more
@@ -141,7 +147,10 @@
 };
 struct Node {
     NodeId id = 0;
-    int cell = 0;
+    CellId cell = 0;
+    int shard = 0;
+    double weight = 0;  // against the shard's other holders; 0: not told
+    bool held = false;  // listed with the holders of its cell
     int zone = 0;
     NodeState state = NodeState::gone;
     double bootMs = 0;
@@ -227,6 +236,8 @@
     }
 }
 struct Cell {
+    CellId id = 0;
+    std::size_t place = 0;                         // among the cells that have holders
     std::set<std::pair<double, RequestId>> queue;  // by due time
     double queuedUnits = 0;
     double offered = 0;
@@ -241,6 +252,20 @@
     std::map<std::string, Demand> volumes;
     std::vector<Node*> holders;  // of the table of nodes: those that hold this cell
 
+    /// Counts a request for the bids. A client's late repeat, of 0 units, shows only that its volume is
+    /// there.
+    void offer(const std::string& volume, double worth, double units) {
+        Demand& d = volumes[volume];
+        if (units <= 0) return;
+        offered += units;
+        d.now += units;
+        d.byWorth[worth].now += units;
+    }
+    /// Another round would change nothing of it.
+    bool idle() const {
+        return volumes.empty() && !crowded &&
+               lastOffered + offered + own.offered + own.served + now.served <= 0;
+    }
     void endRound() {
         own = std::exchange(now, {});
         own.hosts = 1;
--- a/src/net/address.h
+++ b/src/net/address.h
@@ -4,6 +4,7 @@
 #include <netinet/in.h>
 
 #include <cstdint>
+#include <functional>
 #include <optional>
 #include <string>
 
@@ -17,6 +18,10 @@
     bool operator==(const Address&) const = default;
 };
 
+struct AddressHash {
+    std::size_t operator()(const Address& a) const { return std::hash<std::string>()(a.host) * 31 + a.port; }
+};
+
 /// Nothing for a text that is no IPv4 address with a port.
 [[nodiscard]] std::optional<Address> parseAddress(const std::string& text);
 
--- a/src/net/link_pool.h
+++ b/src/net/link_pool.h
@@ -3,7 +3,9 @@
 #pragma once
 
 #include <algorithm>
+#include <list>
 #include <memory>
+#include <unordered_map>
 #include <utility>
 #include <vector>
 
@@ -77,23 +79,36 @@
         std::unique_ptr<Wire> link;
         double sinceMs = 0;
     };
+    using Place = typename std::list<Idle>::iterator;
 
     // The one used last, so that the others may fall idle and be retired; but not at once: what a node sends
     // behind an answer may come a moment after it.
     std::unique_ptr<Wire> idleFor(const Address& node, const typename Wire::Work& work) {
+        const auto ours = byNode_.find(node);
+        if (ours == byNode_.end()) return nullptr;
         const double rested = clock_.nowMs() - limits_.nodeRestMs;
-        for (auto at = idle_.rbegin(); at != idle_.rend(); ++at) {
-            if (at->sinceMs > rested || !at->link->fits(node, work) || !at->link->usable()) continue;
-            std::unique_ptr<Wire> link = std::move(at->link);
-            idle_.erase(std::next(at).base());
-            return link;
+        for (auto at = ours->second.rbegin(); at != ours->second.rend(); ++at) {
+            const Place idle = *at;
+            if (idle->sinceMs > rested || !idle->link->fits(node, work) || !idle->link->usable()) continue;
+            return forget(idle);
         }
         return nullptr;
     }
 
     void take(std::unique_ptr<Wire> link, bool keep) {
         if (!keep) return discard(std::move(link));
+        const Address node = link->node();
         idle_.push_back({std::move(link), clock_.nowMs()});
+        byNode_[node].push_back(std::prev(idle_.end()));
+    }
+
+    std::unique_ptr<Wire> forget(Place idle) {
+        std::unique_ptr<Wire> link = std::move(idle->link);
+        const auto ours = byNode_.find(link->node());
+        std::erase(ours->second, idle);
+        if (ours->second.empty()) byNode_.erase(ours);
+        idle_.erase(idle);
+        return link;
     }
 
     // Gives the connection up. It is closed from the loop's next turn, since this may be its own callback.
@@ -106,18 +121,16 @@
 
     // At the bound the connection that has been idle longest goes.
     void giveWay() {
-        if (idle_.empty()) return;
-        discard(std::move(idle_.front().link));
-        idle_.erase(idle_.begin());
+        if (!idle_.empty()) discard(forget(idle_.begin()));
     }
 
     // The nodes close idle connections; one that is used just then would end as broken.
     void sweep() {
         const double before = clock_.nowMs() - limits_.nodeIdleMs * limits_.idlePart;
-        for (Idle& idle : idle_) {
-            if (idle.link->closed() || idle.sinceMs < before) discard(std::move(idle.link));
+        for (Place idle = idle_.begin(); idle != idle_.end();) {
+            const Place now = idle++;
+            if (now->link->closed() || now->sinceMs < before) discard(forget(now));
         }
-        std::erase_if(idle_, [](const Idle& idle) { return !idle.link; });
         sweep_.start(limits_.sweepMs);
     }
 
@@ -125,7 +138,9 @@
     const Clock& clock_;
     const Limits& limits_;
     Counters& counters_;
-    std::vector<Idle> idle_;                    // longest idle first
+    std::list<Idle> idle_;  // longest idle first
+    // The same by node, so that a send looks at its node's alone; no entry is empty.
+    std::unordered_map<Address, std::vector<Place>, AddressHash> byNode_;
     std::vector<std::unique_ptr<Wire>> waste_;  // freed from the loop, never from their own callbacks
     std::size_t links_ = 0;
     Timer sweep_;
--- /dev/null
+++ b/tests/limedrum/spread_test.cpp
@@ -0,0 +1,293 @@
+// Shards with several weighted holders: which one gets a request, and what happens as they come, go and fail.
+#include <doctest/doctest.h>
+
+#include <cmath>
+#include <map>
+#include <set>
+
+#include "driver.h"
+
+using namespace limedrum;
+using namespace limedrum::testing;
+
+namespace {
+
+/// One shard, held by so many nodes from 200 on.
+struct Shard {
+    explicit Shard(int holders, Settings s = plainSettings(), std::vector<double> weights = {})
+        : d(s, 1, 100'000, 0) {
+        ListEvent list{ListKind::full, {}};
+        for (int i = 0; i < holders; ++i)
+            list.entries.push_back(entry(i, weights.empty() ? 1 : weights[static_cast<std::size_t>(i)]));
+        d.give(100'000, list);
+    }
+    static NodeEntry entry(int i, double weight, NodeState state = NodeState::serving, double bootMs = 0) {
+        return {.node = NodeId(200 + i), .cell = 7, .state = state, .bootMs = bootMs, .weight = weight};
+    }
+    void tell(const NodeEntry& e) { d.give(d.nowMs, ListEvent{ListKind::update, {e}}); }
+    RequestEvent read(int piece, double lifeMs = 1000) {
+        RequestEvent r = request("q" + std::to_string(++asked), d.nowMs + lifeMs, 7);
+        r.key = "piece" + std::to_string(piece);
+        return r;
+    }
+    /// The node that the latest actions send a request to; 0: none.
+    NodeId sentTo(const RequestId& id) const {
+        NodeId out = 0;
+        for (const Action& a : d.last)
+            if (const auto* send = std::get_if<Send>(&a); send != nullptr && send->id == id) out = send->node;
+        return out;
+    }
+    /// Asks for a piece, which is answered at once.
+    NodeId ask(int piece) {
+        const RequestEvent r = read(piece);
+        d.give(d.nowMs + 1, r);
+        const NodeId node = sentTo(r.id);
+        if (node != 0) d.outcome(d.nowMs, r.id, 0, node, Outcome::done, 5);
+        return node;
+    }
+    /// Answers at once whatever the latest actions sent, and what those answers lead to.
+    void answerAll(std::map<NodeId, double>* units = nullptr) {
+        std::vector<Action> todo = d.last;
+        while (!todo.empty()) {
+            const Action action = todo.back();
+            todo.pop_back();
+            const auto* send = std::get_if<Send>(&action);
+            if (send == nullptr) continue;
+            if (units != nullptr) (*units)[send->node] += 2;
+            const std::vector<Action> more = d.outcome(d.nowMs, send->id, 0, send->node, Outcome::done, 5);
+            todo.insert(todo.end(), more.begin(), more.end());
+        }
+    }
+    int pieceOf(NodeId node) {
+        for (int piece = 0;; ++piece)
+            if (ask(piece) == node) return piece;
+    }
+    Driver d;
+    int asked = 0;
+};
+
+constexpr int kPieces = 4000;
+
+std::map<int, NodeId> placesOf(Shard& s) {
+    std::map<int, NodeId> out;
+    for (int i = 0; i < kPieces; ++i) out[i] = s.ask(i);
+    return out;
+}
+
+}  // namespace
+
+TEST_CASE("pieces are spread by weight, and a piece stays where it is") {
+    Shard s(4, plainSettings(), {1, 1, 2, 4});
+    const auto places = placesOf(s);
+    CHECK(placesOf(s) == places);
+    std::map<NodeId, int> count;
+    for (const auto& [piece, node] : places) ++count[node];
+    CHECK(count.size() == 4);
+    for (const auto& [node, weight] :
+         {std::pair(200, 1), std::pair(201, 1), std::pair(202, 2), std::pair(203, 4)}) {
+        const double due = kPieces * weight / 8.0;
+        CHECK(std::abs(count[static_cast<NodeId>(node)] - due) < 5 * std::sqrt(due));
+    }
+    SUBCASE("a node that leaves: only its pieces move, and they come back with it") {
+        s.tell(Shard::entry(1, 1, NodeState::draining));
+        for (const auto& [piece, node] : placesOf(s)) {
+            if (places.at(piece) != 201) CHECK(node == places.at(piece));
+            CHECK(node != 201);
+        }
+        s.tell(Shard::entry(1, 1));
+        CHECK(placesOf(s) == places);
+    }
+    SUBCASE("a weight that grows: pieces move to it alone") {
+        s.tell(Shard::entry(0, 3));
+        int moved = 0;
+        for (const auto& [piece, node] : placesOf(s)) {
+            if (node == places.at(piece)) continue;
+            CHECK(node == 200);
+            ++moved;
+        }
+        CHECK(moved > kPieces / 10);
+    }
+}
+
+TEST_CASE("what fails at one holder goes to another, as its class allows") {
+    Settings set = plainSettings();
+    set.classes.push_back({.aimMs = 200, .deadlineMs = 1000, .repeat = Repeat::unsafe});
+    Shard s(3, set);
+    const auto endsWith = [&](int classNo, Outcome outcome) {
+        RequestEvent r = s.read(5);
+        r.classNo = classNo;
+        s.d.give(s.d.nowMs + 1, r);
+        const NodeId first = s.sentTo(r.id);
+        REQUIRE(first != 0);
+        s.d.outcome(s.d.nowMs + 5, r.id, 0, first, outcome);
+        const int before = s.d.sends(r.id);
+        s.d.pass(s.d.nowMs + 100);
+        NodeId second = 0;
+        for (const Action& a : s.d.all)
+            if (const auto* send = std::get_if<Send>(&a); send != nullptr && send->id == r.id)
+                second = send->node;
+        const int again = s.d.sends(r.id) - before;
+        if (again > 0) s.d.outcome(s.d.nowMs, r.id, 1, second, Outcome::done);
+        return std::pair(again, second != first);
+    };
+    CHECK(endsWith(0, Outcome::full) == std::pair(1, true));
+    CHECK(endsWith(0, Outcome::reset) == std::pair(1, true));
+    CHECK(endsWith(0, Outcome::error) == std::pair(1, true));
+    CHECK(endsWith(1, Outcome::full) == std::pair(1, true));    // it never ran
+    CHECK(endsWith(1, Outcome::reset) == std::pair(0, false));  // it may have
+}
+
+TEST_CASE("a holder that answers nothing is passed over, and what is out there is repeated elsewhere") {
+    Shard s(2);
+    const int piece = s.pieceOf(200);
+    const RequestEvent r = s.read(piece);
+    s.d.give(s.d.nowMs + 1, r);
+    REQUIRE(s.sentTo(r.id) == 200);
+    // A refused connection tells at once that nobody is there; one trickle later it is believed.
+    s.d.outcome(s.d.nowMs + 1, r.id, 0, 200, Outcome::connectFailed);
+    const RequestEvent trickle = s.read(piece);
+    s.d.give(s.d.nowMs + 1, trickle);
+    s.d.outcome(s.d.nowMs + 1, trickle.id, 0, s.sentTo(trickle.id), Outcome::connectFailed);
+    std::set<NodeId> used;
+    for (int i = 0; i < 20; ++i) used.insert(s.ask(piece));
+    CHECK(used == std::set<NodeId>{201});
+    // A trickle shows its return.
+    s.d.all.clear();
+    s.d.pass(s.d.nowMs + 600);
+    CHECK(s.ask(piece) == 200);
+    CHECK(s.ask(piece) == 200);
+}
+
+TEST_CASE("silence: attempts out are called off and repeated at another holder") {
+    Settings set = plainSettings();
+    set.classes[0].deadlineMs = 3000;
+    Shard s(2, set);
+    const int piece = s.pieceOf(200);
+    std::vector<RequestId> out;
+    for (int i = 0; i < 6; ++i) {
+        RequestEvent r = s.read(piece, 3000);
+        r.units = 0.5;
+        s.d.give(s.d.nowMs + 1, r);
+        if (s.sentTo(r.id) == 200) out.push_back(r.id);
+    }
+    REQUIRE(out.size() >= 3);
+    const double start = s.d.nowMs;
+    std::set<RequestId> again;
+    while (s.d.nowMs < start + 2900 && again.size() < out.size()) {
+        s.d.give(s.d.nowMs + 2, ReminderEvent{1});
+        const std::vector<Action> actions = s.d.last;
+        for (const Action& a : actions) {
+            const auto* cancel = std::get_if<Cancel>(&a);
+            if (cancel == nullptr) continue;
+            s.d.outcome(s.d.nowMs, cancel->id, cancel->attempt, 200, Outcome::cancelled);
+            if (s.sentTo(cancel->id) == 201) again.insert(cancel->id);
+        }
+    }
+    CHECK(again.size() == out.size());
+}
+
+TEST_CASE("what waits for a holder moves when it drains, and nothing new goes there") {
+    Shard s(2);
+    const int piece = s.pieceOf(200);
+    std::vector<RequestId> waits;
+    for (int i = 0; i < 12; ++i) {
+        const RequestEvent r = s.read(piece);
+        s.d.give(s.d.nowMs + 0.1, r);
+        if (s.sentTo(r.id) == 0 && s.d.answers(r.id) == 0) waits.push_back(r.id);
+    }
+    REQUIRE(waits.size() > 2);
+    s.tell(Shard::entry(0, 1, NodeState::draining));
+    s.d.all.clear();
+    s.d.pass(s.d.nowMs + 30);
+    int sent = 0;
+    for (const Action& a : s.d.all) {
+        const auto* send = std::get_if<Send>(&a);
+        if (send == nullptr) continue;
+        CHECK(send->node == 201);
+        ++sent;
+    }
+    CHECK(sent > 0);
+    CHECK(s.d.answers() == 0);
+}
+
+TEST_CASE("a pressed holder's excess goes to one that is not pressed, before it is refused") {
+    const auto refused = [](int holders) {
+        Shard s(holders);
+        int refusals = 0;
+        // Node 200 answers slowly; the others in good time.
+        std::multimap<double, std::pair<RequestId, NodeId>> out;
+        for (int i = 0; i < 1500; ++i) {
+            s.d.give(s.d.nowMs + 4, s.read(i));
+            const std::vector<Action> actions = s.d.last;
+            for (const Action& a : actions)
+                if (const auto* send = std::get_if<Send>(&a))
+                    out.emplace(s.d.nowMs + (send->node == 200 ? 400 : 10), std::pair(send->id, send->node));
+            while (!out.empty() && out.begin()->first <= s.d.nowMs) {
+                const auto [id, node] = out.begin()->second;
+                out.erase(out.begin());
+                s.d.outcome(s.d.nowMs, id, 0, node, Outcome::done, node == 200 ? 400 : 10);
+                const std::vector<Action> more = s.d.last;
+                for (const Action& a : more)
+                    if (const auto* send = std::get_if<Send>(&a))
+                        out.emplace(s.d.nowMs + (send->node == 200 ? 400 : 10),
+                                    std::pair(send->id, send->node));
+            }
+        }
+        refusals = s.d.answers();
+        return refusals;
+    };
+    const int alone = refused(1);
+    const int shared = refused(3);
+    MESSAGE("refused of 1500: alone " << alone << ", with two others " << shared);
+    CHECK(alone > 500);
+    CHECK(shared < alone / 4);
+}
+
+TEST_CASE("a holder just started gets no more than the cold rule lets it, the others take the rest") {
+    Settings set = plainSettings();
+    set.rules.coldShare = 0.25;
+    set.rules.warmWithinMs = 5000;
+    set.rules.fallMs = 1000;
+    set.coldUnits = 10;
+    set.hosts = 1;
+    set.mayTellPeers = false;
+    Shard s(2, set);
+    s.d.pass(s.d.nowMs + 3000);
+    s.tell(Shard::entry(2, 1, NodeState::serving, s.d.nowMs));
+    const double born = s.d.nowMs;
+    std::map<NodeId, double> units;
+    int asked = 0;
+    for (; s.d.nowMs < born + 900; ++asked) {
+        s.d.give(s.d.nowMs + 5, s.read(asked));
+        s.answerAll(&units);
+    }
+    CHECK(units[202] <= 10 * (1 + 3 * 0.2));
+    CHECK(units[202] > 0);
+    for (int i = 0; i < 400; ++i) {
+        s.d.give(s.d.nowMs + 2, ReminderEvent{1});
+        s.answerAll(&units);
+    }
+    CHECK(s.d.answers() == 0);
+    CHECK(s.d.sends() == asked);
+    // Warm, it has its part.
+    s.d.pass(born + 7000);
+    std::map<NodeId, int> count;
+    for (int i = 0; i < 900; ++i) ++count[s.ask(i)];
+    CHECK(count[202] > 200);
+}
+
+TEST_CASE("tables are given back as weighted holders come and go") {
+    Shard s(3);
+    for (int i = 0; i < 300; ++i) s.ask(i);
+    s.d.pass(s.d.nowMs + 6000);
+    const std::size_t before = s.d.tableSize();
+    for (int round = 0; round < 50; ++round) {
+        s.tell(Shard::entry(10 + round, 2));
+        for (int i = 0; i < 20; ++i) s.ask(i);
+        s.tell(Shard::entry(10 + round, 2, NodeState::draining));
+        s.d.pass(s.d.nowMs + 10);
+        s.tell(Shard::entry(10 + round, 2, NodeState::gone));
+    }
+    s.d.pass(s.d.nowMs + 70'000, 10);
+    CHECK(s.d.tableSize() <= before);
+}
--- /dev/null
+++ b/tests/limedrum/stream_test.cpp
@@ -0,0 +1,230 @@
+// Guards against changes of behaviour that nobody meant. Three hosts serve a fleet with one holder a shard
+// and no weights told, through surges, full queues, silent and lost answers, crashes, drains and
+// replacements, all drawn from a seed. The hash of everything that they did is that of the module before
+// holders had weights (commit da9bb6c). A change that is meant to alter decisions there puts the new hash in
+// its place and says so.
+#include <doctest/doctest.h>
+
+#include <cstdio>
+#include <map>
+#include <random>
+
+#include "driver.h"
+
+using namespace limedrum;
+
+namespace {
+
+constexpr int kHosts = 3;
+constexpr int kShards = 12;
+
+class Hash {
+public:
+    void add(const std::string& text) {
+        for (const char c : text) value_ = (value_ ^ static_cast<unsigned char>(c)) * 0x100000001b3ULL;
+    }
+    void add(double value) {
+        char text[40];
+        std::snprintf(text, sizeof text, "%.9g;", value);
+        add(std::string(text));
+    }
+    std::uint64_t value() const { return value_; }
+
+private:
+    std::uint64_t value_ = 0xcbf29ce484222325ULL;
+};
+
+Settings settingsOf(int host) {
+    Settings s = testing::plainSettings();
+    s.classes.push_back({.aimMs = 400,
+                         .deadlineMs = 2000,
+                         .repeat = Repeat::keyed,
+                         .repeatWindowMs = 900,
+                         .worth = 1,
+                         .lateWorth = 0.3});
+    s.plans.push_back({.rate = 20, .reserve = 5, .weight = 3, .limit = 60, .limitDepth = 40});
+    s.rules.coldShare = 0.25;
+    s.rules.warmWithinMs = 3000;
+    s.rules.fallMs = 1000;
+    s.coldUnits = 22;
+    s.hosts = kHosts;
+    s.self = host;
+    s.withinShare = 0.3;
+    s.spareWorth = 0.05;
+    s.maxRetryAfterMs = 1000;
+    return s;
+}
+
+/// Events due at a host, by time.
+struct Due {
+    int host;
+    Event event;
+};
+
+struct World {
+    explicit World(std::uint64_t seed) : random(seed) {
+        for (int host = 0; host < kHosts; ++host) start(host, 1'000'000);
+    }
+    double draw() { return static_cast<double>(random() >> 11) * 0x1.0p-53; }
+    int below(int most) { return static_cast<int>(draw() * most); }
+
+    void start(int host, double nowMs) {
+        hosts.erase(host);
+        hosts.emplace(host, Scheduler(settingsOf(host), 77 + static_cast<std::uint64_t>(host), nowMs));
+        ++epoch[host];
+        ListEvent list{ListKind::restored, {}};
+        for (int shard = 0; shard < kShards; ++shard)
+            list.entries.push_back({.node = nodeOf(shard), .cell = shard, .bootMs = bornMs[shard]});
+        give(host, nowMs, list);
+    }
+    NodeId nodeOf(int shard) const { return NodeId(100 + shard + 100 * generation[shard]); }
+
+    void give(int host, double nowMs, const Event& event) {
+        for (const Action& action : hosts.at(host).handle(nowMs, std::span(&event, 1)))
+            take(host, nowMs, action);
+    }
+    void take(int host, double nowMs, const Action& action) {
+        hash.add(static_cast<double>(host * 10 + static_cast<int>(action.index())));
+        if (const auto* send = std::get_if<Send>(&action)) {
+            hash.add(send->id);
+            hash.add(static_cast<double>(send->node));
+            hash.add(send->timeoutMs);
+            ++sends;
+            const int attempt = attempts[send->id]++;
+            const int shard = static_cast<int>(send->node % 100);
+            const bool there = nodeOf(shard) == send->node;
+            busyMs[shard] = std::max(busyMs[shard], nowMs) + (4 + 8 * draw()) * (slow == shard ? 6 : 1);
+            OutcomeEvent out{.id = send->id, .attempt = attempt, .node = send->node};
+            const double chance = draw();
+            double at = busyMs[shard] + 1;
+            out.outcome = Outcome::done;
+            if (!there)
+                out.outcome = Outcome::connectFailed, at = nowMs + 1;
+            else if (busyMs[shard] - nowMs > 250)
+                out.outcome = Outcome::full, at = nowMs + 1;
+            else if (chance < 0.01)
+                out.outcome = Outcome::error;
+            else if (chance < 0.02)
+                out.outcome = Outcome::reset;
+            else if (chance < 0.04 || silent == shard)
+                out.outcome = Outcome::timedOut, at = nowMs + send->timeoutMs;
+            out.tookMs = at - nowMs;
+            out.last = out.outcome == Outcome::done;
+            due.emplace(at, std::pair(epoch[host], Due{host, out}));
+            flying[{send->id, attempt}] = out;
+        } else if (const auto* cancel = std::get_if<Cancel>(&action)) {
+            hash.add(cancel->id);
+            OutcomeEvent out = flying[{cancel->id, cancel->attempt}];
+            out.outcome = Outcome::cancelled;
+            out.last = false;
+            cancelled[{cancel->id, cancel->attempt}] = true;
+            due.emplace(nowMs + 0.5, std::pair(epoch[host], Due{host, out}));
+        } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+            hash.add(refuse->id);
+            hash.add(refuse->retryAfterMs);
+            ++refusals;
+        } else if (const auto* fail = std::get_if<Fail>(&action)) {
+            hash.add(fail->id);
+        } else if (const auto* timer = std::get_if<SetTimer>(&action)) {
+            hash.add(timer->afterMs);
+            due.emplace(nowMs + timer->afterMs,
+                        std::pair(epoch[host], Due{host, ReminderEvent{timer->token}}));
+        } else if (const auto* tell = std::get_if<TellPeer>(&action)) {
+            hash.add(tell->text);
+            if (draw() < 0.95)
+                due.emplace(nowMs + 2 + 10 * draw(),
+                            std::pair(epoch[tell->to], Due{tell->to, PeerEvent{host, tell->text}}));
+        } else if (const auto* log = std::get_if<Log>(&action)) {
+            hash.add(log->text);
+        }
+    }
+    void list(double nowMs, int shard, NodeId node, NodeState state) {
+        for (int host = 0; host < kHosts; ++host)
+            due.emplace(
+                nowMs + 100 * draw(),
+                std::pair(
+                    epoch[host],
+                    Due{host,
+                        ListEvent{
+                            ListKind::update,
+                            {{.node = node, .cell = shard, .state = state, .bootMs = bornMs[shard]}}}}));
+    }
+    void replace(int shard, double nowMs) {
+        const NodeId old = nodeOf(shard);
+        list(nowMs, shard, old, NodeState::draining);
+        ++generation[shard];
+        bornMs[shard] = nowMs;
+        list(nowMs + 200, shard, nodeOf(shard), NodeState::serving);
+        list(nowMs + 900, shard, old, NodeState::gone);
+    }
+    void request(double nowMs, bool surge) {
+        const int volume = surge ? below(3) : below(24);
+        const int host = (volume + below(2)) % kHosts;
+        RequestEvent r;
+        r.id = "q" + std::to_string(++asked);
+        r.classNo = below(10) < 7 ? 0 : 1;
+        r.planNo = volume % 2;
+        r.key = "k" + std::to_string(below(400));
+        r.volume = "v" + std::to_string(volume);
+        const bool late = below(12) == 0;
+        r.expiresMs = nowMs + (r.classNo == 0 ? 1000 : 2000) * (late ? 0.6 : 1);
+        r.units = 1 + below(4);
+        r.cell = r.classNo == 1 && below(2) == 0 ? -1 : below(kShards);
+        r.hostsOfVolume = 2;
+        give(host, nowMs, r);
+        if (below(50) == 0) due.emplace(nowMs + 30, std::pair(epoch[host], Due{host, AbandonedEvent{r.id}}));
+    }
+    void run(double fromMs, double untilMs) {
+        double nextMs = fromMs;
+        int step = 0;
+        while (nextMs < untilMs) {
+            while (!due.empty() && due.begin()->first <= nextMs) {
+                const auto [at, entry] = *due.begin();
+                due.erase(due.begin());
+                const auto& [born, what] = entry;
+                if (born != epoch[what.host]) continue;
+                if (const auto* out = std::get_if<OutcomeEvent>(&what.event)) {
+                    const auto name = std::pair(out->id, out->attempt);
+                    if (out->outcome != Outcome::cancelled && cancelled[name]) continue;
+                    if (flying.erase(name) == 0) continue;
+                }
+                give(what.host, at, what.event);
+            }
+            const bool surge = static_cast<long>(nextMs) / 3000 % 3 == 1;
+            request(nextMs, surge && below(3) > 0);
+            nextMs += (surge ? 0.7 : 2.2) * (0.5 + draw());
+            if (++step % 1500 == 0) slow = below(kShards);
+            if (step % 2100 == 0) silent = silent < 0 ? below(kShards) : -1;
+            if (step % 2600 == 0) replace(below(kShards), nextMs);
+            if (step % 4100 == 0) start(below(kHosts), nextMs);
+        }
+    }
+
+    std::mt19937_64 random;
+    std::map<int, Scheduler> hosts;
+    std::map<int, int> epoch;
+    std::multimap<double, std::pair<int, Due>> due;
+    std::map<RequestId, int> attempts;
+    std::map<std::pair<RequestId, int>, OutcomeEvent> flying;
+    std::map<std::pair<RequestId, int>, bool> cancelled;
+    int generation[kShards] = {};
+    double bornMs[kShards] = {};
+    double busyMs[kShards] = {};
+    int slow = -1, silent = -1, asked = 0, sends = 0, refusals = 0;
+    Hash hash;
+};
+
+}  // namespace
+
+TEST_CASE("with one holder a shard and no weights every action is what it was") {
+    for (const auto& [seed, hash] :
+         {std::pair(1ULL, 15568970569508764295ULL), std::pair(2ULL, 7967238540273091571ULL)}) {
+        World world(seed);
+        world.run(1'000'000, 1'040'000);
+        MESSAGE("seed " << seed << ", " << world.asked << " requests, " << world.sends << " sends, "
+                        << world.refusals << " refusals");
+        CHECK(world.sends > 5000);
+        CHECK(world.refusals > 500);
+        CHECK(world.hash.value() == hash);
+    }
+}
