Find volumes, requests and cells by hash, and draw 8 nodes for a new object

The module's cost a request still grew with the fleet: perf showed string-keyed trees (a third of the time at 10,000 nodes), the set of live cells, and cache misses over 32 drawn nodes.

--- a/bench/swap.cpp
+++ b/bench/swap.cpp
@@ -68,12 +68,11 @@
         const double now = clock.nowMs();
         longestMs = std::max(longestMs, now - lastMs - 0.1);
         lastMs = now;
-        if (source.statusText().starts_with(wanted) && source.settled())
-            return void(event_base_loopbreak(base.get()));
+        if (source.version() == wanted) return void(event_base_loopbreak(base.get()));
         beat.start(0.1);
     }
     void until(std::uint64_t number) {
-        wanted = "version " + std::to_string(number) + " in force";
+        wanted = number;
         lastMs = clock.nowMs();
         longestMs = 0;
         beat.start(0.1);
@@ -92,7 +91,7 @@
     int expected;
     double lastMs = 0;
     double longestMs = 0;
-    std::string wanted;
+    std::uint64_t wanted = 0;
 };
 
 }  // namespace
@@ -115,10 +114,11 @@
             const double writtenMs = bench.clock.nowMs();
             bench.until(number);
             std::printf(
-                "%6d nodes, version %llu: in force after %8.2f ms, longest stall %6.2f ms, resident %.0f "
+                "%6d nodes, version %llu: in force after %8.2f ms, longest stall %6.2f ms (slice %.2f), "
+                "resident %.0f "
                 "MB\n",
                 nodes, static_cast<unsigned long long>(number), bench.clock.nowMs() - writtenMs,
-                bench.longestMs, residentMb());
+                bench.longestMs, bench.source.longestSliceMs(), residentMb());
         }
         NodeList whole{99, true, bench.known.nodes};
         const double startMs = bench.clock.nowMs();
--- a/src/files/source.h
+++ b/src/files/source.h
@@ -130,6 +130,10 @@
     /// Whether all that was taken from the thread has been told on.
     [[nodiscard]] bool settled() const { return done_ >= now_.changes.size(); }
     [[nodiscard]] bool ready() const { return version_ > 0; }
+    /// The version that has been told whole; 0: none yet.
+    [[nodiscard]] std::uint64_t version() const { return version_; }
+    /// The longest that telling has kept the loop at once, in ms.
+    [[nodiscard]] double longestSliceMs() const { return longestSliceMs_; }
 
 private:
     void taken();
--- a/src/limedrum/decide.cpp
+++ b/src/limedrum/decide.cpp
@@ -15,6 +15,7 @@
 #include <optional>
 #include <set>
 #include <tuple>
+#include <unordered_map>
 #include <utility>
 
 #include "bids.h"
@@ -69,7 +70,7 @@
 constexpr double kValidMs = 100;        // ms from asking: what was dealt is void after it
 constexpr double kPriorUnits = 6;       // units that an even split of a volume weighs against what was seen
 constexpr double kLateTryMs = 5;        // ms: a life shorter than the class's by more shows a client's repeat
-constexpr std::size_t kLooks = 32;      // cells looked at for a new object, where there are more
+constexpr std::size_t kLooks = 32;  // cells looked at for a new object; of more a quarter of so many, drawn
 constexpr double kSpillAimPart = 0.25;  // of the aim: a wait for a cold holder's budget
 constexpr double kAbsurd = 1e6;         // units a round that no host can mean
 
@@ -178,10 +179,10 @@
         int known = 0;
         const auto learn = [&](const Node& n) { usual += n.unitMs, known += n.unitMs > 0; };
         if (fleet_.open.size() <= kLooks) {
-            for (auto& [cell, c] : fleet_.cells) looks.push_back(&c);
+            looks = fleet_.inOrder();
             for (const auto& [id, n] : fleet_.nodes) learn(n);
         } else {
-            while (looks.size() < kLooks)
+            while (looks.size() < kLooks / 4)
                 looks.push_back(fleet_.open[random_.below(static_cast<int>(fleet_.open.size()))]);
             for (const Cell* c : looks) learn(*c->holders.front());
         }
@@ -313,8 +314,7 @@
     bool silentFor(const Node& n) const { return n.silentSinceMs > 0 && now_ - n.trickledMs < kTrickleMs; }
 
     void offer(const Request& r) {
-        fleet_.live.insert(r.cell);
-        fleet_.cellOf(r.cell).offer(r.told.volume, classOf(r).worth, r.lateTry ? 0 : r.told.units);
+        fleet_.touch(r.cell).offer(r.told.volume, classOf(r).worth, r.lateTry ? 0 : r.told.units);
     }
 
     // Units a second to expect in the rest of the round: as in the last round, or as this round shows a
@@ -655,7 +655,7 @@
             }
             if (event.outcome == Outcome::full) press(n);
             // The node did the work of an answer that was lost: it has answered what was sent later.
-            fleet_.live.insert(flight.cell);
+            fleet_.touch(flight.cell);
             if (unsure && n.answeredSentMs > flight.sentMs)
                 fleet_.cells[flight.cell].now.served += flight.units;
             if (event.outcome == Outcome::done && flight.units > 0) {
@@ -984,12 +984,12 @@
     std::vector<double> lives_;  // for each class: the longest time to expiry seen
     TurnedAway turnedAway_;      // units, this round
     std::vector<Action> actions_;
-    std::map<RequestId, Request> requests_;
+    std::unordered_map<RequestId, Request> requests_;
     std::set<std::pair<double, RequestId>> expiries_;
     std::map<FlightId, Flight> flights_;
     std::set<std::pair<double, FlightId>> watched_;  // when an attempt is next looked at
     Fleet fleet_;
-    std::map<std::string, Volume> volumes_;
+    std::unordered_map<std::string, Volume> volumes_;  // as it is met: no decision looks at the order
     Lanes lanes_;
     std::map<BudgetId, Share> shares_;  // this host's use of budgets that all share
     std::map<BudgetId, Till> tills_;    // those that this host keeps
--- a/src/limedrum/fleet.h
+++ b/src/limedrum/fleet.h
@@ -3,6 +3,7 @@
 
 #include <map>
 #include <set>
+#include <unordered_map>
 #include <vector>
 
 #include "spread.h"
@@ -12,7 +13,7 @@
 
 struct Fleet {
     std::map<NodeId, Node> nodes;
-    std::map<CellId, Cell> cells;
+    std::unordered_map<CellId, Cell> cells;
     std::map<int, std::vector<Node*>> spreads;  // by shard: its weighted holders
     std::vector<Cell*> open;                    // cells with holders, in no order: one is drawn in one step
     std::set<CellId> live;                      // cells that a round may change: all others it passes over
@@ -24,6 +25,19 @@
         c.id = id;
         return c;
     }
+    /// The cells with holders, by their numbers.
+    std::vector<Cell*> inOrder() const {
+        std::vector<Cell*> out = open;
+        std::sort(out.begin(), out.end(), [](const Cell* a, const Cell* b) { return a->id < b->id; });
+        return out;
+    }
+    /// From now on rounds look at the cell, until it rests.
+    Cell& touch(CellId id) {
+        Cell& c = cellOf(id);
+        if (!c.live) live.insert(id);
+        c.live = true;
+        return c;
+    }
 
     /// Takes a node into the table as the list has it.
     Node& list(const NodeEntry& entry) {
@@ -65,10 +79,11 @@
     /// Drops from `live` what another round would not change, and what stood for a holder that is no more.
     void rest() {
         std::erase_if(live, [&](CellId id) {
-            const Cell& c = cells.at(id);
+            Cell& c = cells.at(id);
             const auto pressed = [](const Node* n) { return n->lastPressedMs > 0; };
             if (!c.idle() || active.contains(id) || std::any_of(c.holders.begin(), c.holders.end(), pressed))
                 return false;
+            c.live = false;
             if (id < 0 && c.holders.empty()) cells.erase(id);
             return true;
         });
@@ -77,11 +92,10 @@
     void enqueue(Request& r) {
         if (r.queued) return;
         r.queued = true;
-        Cell& c = cellOf(r.cell);
+        Cell& c = touch(r.cell);
         c.queue.emplace(r.dueMs, r.told.id);
         c.queuedUnits += r.told.units;
         active.insert(r.cell);
-        live.insert(r.cell);
     }
     void dequeue(Request& r) {
         if (!r.queued) return;
@@ -117,7 +131,7 @@
             open[c.place] = open.back();
             open[c.place]->place = c.place;
             open.pop_back();
-            live.insert(n.cell);  // rest() drops it, once nothing waits there
+            touch(n.cell);  // rest() drops it, once nothing waits there
         }
         const auto at = spreads.find(n.shard);
         if (at == spreads.end()) return;
--- a/src/limedrum/state.h
+++ b/src/limedrum/state.h
@@ -238,6 +238,7 @@
 struct Cell {
     CellId id = 0;
     std::size_t place = 0;                         // among the cells that have holders
+    bool live = false;                             // a round may change it
     std::set<std::pair<double, RequestId>> queue;  // by due time
     double queuedUnits = 0;
     double offered = 0;
