--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -1,7 +1,6 @@
 #include "cli/program.h"
 
 #include <csignal>
-#include <sstream>
 
 #include "core/desk.h"
 #ifdef MARTENCOVE_ETCD
@@ -21,10 +20,10 @@
 
 class Program::Impl {
 public:
-    Impl(Config config, Extras extras)
+    Impl(Config config, Extras extras, LogForm form)
         : config_(std::move(config)),
           base_(makeBase()),
-          log_(clock_, config_.limits),
+          log_(clock_, config_.limits, form),
           tick_(base_.get(), [this] { desk_.tick(); }),
 #ifdef MARTENCOVE_OPERATOR
           files_(openFiles(extras)),
@@ -71,8 +70,10 @@
                          [this] { return desk_.view(); });
 #endif
         desk_.tick();
-        spdlog::info("{} listens on {}, {} nodes known", config_.name, config_.listen.text(),
-                     config_.known.nodes.size());
+        log_.info("start", "listens",
+                  {{"name", config_.name},
+                   {"listen", config_.listen.text()},
+                   {"nodes", config_.known.nodes.size()}});
     }
 
     void run() {
@@ -87,7 +88,7 @@
                 [this](const PeerMessage& message) {
                     peers_ ? peers_->tell(message) : counters_.add("peer_unsent");
                 },
-                [](const std::string& note) { spdlog::info("module: {}", note); }};
+                [this](const std::string& note) { log_.info("module", note); }};
     }
 
     // Requests go on meanwhile: what a running program can take over is put in its place, nothing else moves.
@@ -95,18 +96,18 @@
         try {
             const Config next = readConfigAgain();
             counters_.add("config_read");
-            spdlog::info("configuration read: discovery at {}",
-                         next.discovery ? next.discovery->text() : std::string("none"));
+            log_.info("configuration", "read",
+                      {{"discovery", next.discovery ? next.discovery->text() : std::string("none")}});
             for (const auto& [field, value] : config_.fixed) {
                 const auto now = next.fixed.find(field);
                 if (now == next.fixed.end() || now->second != value)
-                    spdlog::warn("configuration: {} differs, which waits for the next start", field);
+                    log_.warn("configuration", "differs, which waits for the next start", {{"field", field}});
             }
             if (discovery_ && next.discovery) discovery_->moveTo(*next.discovery);
             if (peers_) peers_->reach(next.peers);
         } catch (const std::exception& error) {
             counters_.add("config_bad");
-            log_.warn("configuration", std::string("not taken, the old one stands: ") + error.what());
+            log_.warn("configuration", "not taken, the old one stands", {{"reason", error.what()}});
         }
     }
 
@@ -114,7 +115,7 @@
     void drain() {
         if (drainedMs_) return;
         drainedMs_ = clock_.nowMs();
-        spdlog::info("ending: {} requests open", desk_.open());
+        log_.info("end", "finishing what was taken", {{"open", desk_.open()}});
         front_.drain();
         end_.start(config_.limits.drainAcceptMs);
     }
@@ -127,18 +128,17 @@
         const bool quiet = passedMs >= limits.drainAcceptMs + limits.drainQuietMs && desk_.open() == 0 &&
                            (!nbdFront_ || nbdFront_->quiet());
         if (!quiet && passedMs < limits.drainMostMs) return end_.start(20);
-        spdlog::info("ended: {} requests open", desk_.open());
+        log_.info("end", "exits", {{"open", desk_.open()}});
         event_base_loopbreak(base_.get());
     }
 
     void printCounters() const {
-        std::string line;
-        for (const char c : counters_.text()) line += c == '\n' ? ',' : c;
-        spdlog::info("counters: {}", line);
+        LogFields fields;
+        for (const auto& [name, count] : counters_.all()) fields.emplace_back(name, count);
+        log_.info("counters", "now", fields);
 #ifdef MARTENCOVE_OPERATOR
         if (!files_) return;
-        std::istringstream status(files_->statusText());
-        while (std::getline(status, line)) spdlog::info("nodes: {}", line);
+        log_.info("nodes", "status", files_->statusFields());
 #endif
     }
 
@@ -157,7 +157,7 @@
     Clock clock_;
     Counters counters_;
     Owned<event_base> base_;
-    BoundedLog log_;
+    Log log_;
     std::optional<Peers> peers_;
     Timer tick_;
 #ifdef MARTENCOVE_OPERATOR
@@ -184,8 +184,8 @@
     std::optional<double> drainedMs_;
 };
 
-Program::Program(Config config, Extras extras)
-    : impl_(std::make_unique<Impl>(std::move(config), std::move(extras))) {}
+Program::Program(Config config, Extras extras, LogForm form)
+    : impl_(std::make_unique<Impl>(std::move(config), std::move(extras), form)) {}
 Program::~Program() = default;
 void Program::run() { impl_->run(); }
 
--- a/src/cli/program.h
+++ b/src/cli/program.h
@@ -4,6 +4,7 @@
 #include <memory>
 
 #include "config/config.h"
+#include "net/log.h"
 #ifdef MARTENCOVE_OPERATOR
 #include "config/operator.h"
 #endif
@@ -19,7 +20,7 @@
 class Program {
 public:
     /// Throws ConfigError or std::runtime_error, with the reason, where it cannot start.
-    Program(Config config, Extras extras);
+    Program(Config config, Extras extras, LogForm form);
     ~Program();
     Program(const Program&) = delete;
     Program& operator=(const Program&) = delete;
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -21,6 +21,12 @@
     /// A level, not a count: bytes of nodes' answers in memory, from the node's connection to the client's.
     std::size_t answerBytes = 0;
 
+    /// All of them, in order of the names.
+    [[nodiscard]] std::map<std::string, std::uint64_t> all() const {
+        std::map<std::string, std::uint64_t> out(counts_.begin(), counts_.end());
+        out["answer_bytes"] = answerBytes;
+        return out;
+    }
     /// One "name value" line each, in order of the names.
     [[nodiscard]] std::string text() const {
         std::string lines = "answer_bytes " + std::to_string(answerBytes) + '\n';
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -26,7 +26,7 @@
     std::size_t nodeConnections = 480;
     std::size_t openRequests = 4096;
     std::size_t nodes = 100'000;
-    std::size_t swapSlice = 64;   // changes of nodes told at once, beyond a shard's own
+    std::size_t swapSlice = 64;  // changes of nodes told at once, beyond a shard's own
     std::size_t xdsStreams = 16;
     std::size_t nbdClients = 32;
     std::size_t nbdCommands = 16;        // in work for one client
@@ -50,7 +50,7 @@
     double fileRestMs = 20;        // a file that is written to: read once it rests for so long
     double fileRestMostMs = 200;   // or has been written to for so long
     double fileSettleMs = 1000;    // content that is not whole: told of after so long
-    double swapSliceMs = 0.5;       // of the loop's time for a swap of nodes, at once
+    double swapSliceMs = 0.5;      // of the loop's time for a swap of nodes, at once
     double drainAcceptMs = 450;    // after SIGTERM: new connections are still taken
     double drainQuietMs = 300;     // and after the listener's close: what is on its way still comes
     double drainMostMs = 4600;     // and the longest that the end may take
--- a/src/etcd/source.cpp
+++ b/src/etcd/source.cpp
@@ -8,7 +8,7 @@
 
 using limedrum::fields::FieldError;
 
-Source::Source(event_base* base, EtcdConfig config, const Limits& limits, Counters& counters, BoundedLog& log,
+Source::Source(event_base* base, EtcdConfig config, const Limits& limits, Counters& counters, Log& log,
                std::function<void(const NodeList&)> told)
     : base_(base),
       config_(std::move(config)),
@@ -119,7 +119,7 @@
 // The whole list again: what a change that cannot be read meant is not known.
 void Source::ignore(const std::string& why) {
     counters_.add("etcd_bad");
-    log_.warn("etcd", "answer ignored: " + why);
+    log_.warn("etcd", "answer ignored", {{"reason", why}});
     revision_ = 0;
     again(limits_.etcdBadMs);
 }
--- a/src/etcd/source.h
+++ b/src/etcd/source.h
@@ -17,7 +17,7 @@
 
 class Source {
 public:
-    Source(event_base* base, EtcdConfig config, const Limits& limits, Counters& counters, BoundedLog& log,
+    Source(event_base* base, EtcdConfig config, const Limits& limits, Counters& counters, Log& log,
            std::function<void(const NodeList&)> told);
     Source(const Source&) = delete;
     Source& operator=(const Source&) = delete;
@@ -37,7 +37,7 @@
     EtcdConfig config_;
     const Limits& limits_;
     Counters& counters_;
-    BoundedLog& log_;
+    Log& log_;
     std::function<void(const NodeList&)> told_;
     Owned<evhttp_connection> connection_;
     std::map<std::string, NodeEntry> nodes_;  // by key
--- a/src/files/node_file.cpp
+++ b/src/files/node_file.cpp
@@ -91,8 +91,7 @@
     out.members.reserve(static_cast<std::size_t>(in.node_size()));
     for (int i = 0; i < in.node_size(); ++i) {
         const auto at = tree.GetLocation(field, i);
-        out.members.push_back(
-            {memberOf(in.node(i)), in.node(i).has_born_ms(), {out.file, at.line + 1, at.column + 1}});
+        out.members.push_back({memberOf(in.node(i)), in.node(i).has_born_ms(), at.line + 1, at.column + 1});
     }
 }
 
--- a/src/files/reader.cpp
+++ b/src/files/reader.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 #include <cstdio>
 #include <stdexcept>
+#include <utility>
 
 #include "files/node_file.h"
 #include "files/read.h"
@@ -40,6 +41,18 @@
     return out;
 }
 
+LogFields Status::fields(double nowMs) const {
+    LogFields out{{"version", version},
+                  {"age_s", std::llround((nowMs - sinceMs) / 1000)},
+                  {"nodes", nodes},
+                  {"leaving", leaving},
+                  {"kept_copy", kept ? 1 : 0}};
+    if (refusal.empty()) return out;
+    out.emplace_back("refused_for_s", std::llround((nowMs - refusedMs) / 1000));
+    out.emplace_back("refusal", refusal.front());
+    return out;
+}
+
 Reader::Reader(Config config, const Clock& clock, const Limits& limits, std::function<void()> wake)
     : config_(std::move(config)),
       clock_(clock),
@@ -70,11 +83,11 @@
     std::string problem = content.error;
     membership::Membership kept;
     if (problem.empty()) kept = decodeKept(content.bytes, problem);
-    if (!problem.empty()) return note(true, "kept version not used: " + config_.keep + ": " + problem);
+    if (!problem.empty())
+        return note(true, "kept version not used", {{"file", config_.keep}, {"reason", problem}});
     gate_.restore(std::move(kept), clock_.nowMs());
     status_.kept = true;
-    note(false,
-         "version " + std::to_string(gate_.inForce()->version) + " taken from the kept copy " + config_.keep);
+    note(false, "taken from the kept copy", {{"version", gate_.inForce()->version}, {"file", config_.keep}});
     handOver();
 }
 
@@ -161,18 +174,17 @@
         }
     }
     if (verdict.ruling == Ruling::accepted) {
-        for (const std::string& text : verdict.notes) note(false, text);
+        for (const std::string& text : verdict.notes) note(false, "left over", {{"reason", text}});
         handOver();
         keep();
     }
     if (waiting) return;
     std::string complaint;
     for (const std::string& line : lines) complaint += line + '\n';
-    if (complaint != complaint_ && !complaint.empty()) {
-        for (const std::string& line : lines) note(true, line);
-        note(true, gate_.inForce()
-                       ? "not taken, version " + std::to_string(gate_.inForce()->version) + " stays in force"
-                       : "not taken, there is no version in force");
+    if (complaint != complaint_) {
+        const std::uint64_t stays = gate_.inForce() ? gate_.inForce()->version : 0;
+        for (const std::string& line : lines)
+            note(true, "not taken", {{"version", verdict.version}, {"in_force", stays}, {"reason", line}});
     }
     complaint_ = std::move(complaint);
 }
@@ -204,7 +216,7 @@
     if (config_.keep.empty()) return;
     const std::string error = replaceDurably(config_.keep, encodeKept(*gate_.inForce()));
     if (error.empty()) return;
-    note(true, "version " + std::to_string(gate_.inForce()->version) + " is in force but not kept: " + error);
+    note(true, "in force but not kept", {{"version", gate_.inForce()->version}, {"reason", error}});
     const std::lock_guard lock(mutex_);
     ++status_.keepFailed;
 }
@@ -223,19 +235,18 @@
     return status_;
 }
 
-void Reader::note(bool warn, std::string text) {
+void Reader::note(bool warn, std::string message, LogFields fields) {
     {
         const std::lock_guard lock(mutex_);
-        if (notes_.size() < limits_.logLinesPerSecond * 2) notes_.emplace_back(warn, std::move(text));
+        if (notes_.size() < limits_.logLinesPerSecond * 2)
+            notes_.push_back({warn, std::move(message), std::move(fields)});
     }
     if (wake_) wake_();
 }
 
-std::vector<std::pair<bool, std::string>> Reader::takeNotes() {
+std::vector<Note> Reader::takeNotes() {
     const std::lock_guard lock(mutex_);
-    std::vector<std::pair<bool, std::string>> out(notes_.begin(), notes_.end());
-    notes_.clear();
-    return out;
+    return std::exchange(notes_, {});
 }
 
 }  // namespace martencove::files
--- a/src/files/source.cpp
+++ b/src/files/source.cpp
@@ -47,7 +47,7 @@
 }
 
 Source::Source(event_base* base, Config config, const Clock& clock, const Limits& limits, Counters& counters,
-               BoundedLog& log)
+               Log& log)
     : clock_(clock),
       limits_(limits),
       counters_(counters),
@@ -83,8 +83,9 @@
 }
 
 void Source::taken() {
-    for (const auto& [warn, text] : reader_.takeNotes())
-        warn ? log_.warn("nodes", text) : spdlog::info("nodes: {}", text);
+    for (const Note& note : reader_.takeNotes())
+        note.warn ? log_.warn("nodes", note.message, note.fields)
+                  : log_.info("nodes", note.message, note.fields);
     countStatus();
     slice();
 }
@@ -112,8 +113,10 @@
     if (done_ < now_.changes.size()) return next_.start(0);
     if (now_.membership->version != version_) {
         version_ = now_.membership->version;
-        spdlog::info("nodes: version {} in force, {} nodes, {} changed", version_,
-                     now_.membership->members.size(), now_.changes.size());
+        log_.info("nodes", "in force",
+                  {{"version", version_},
+                   {"nodes", now_.membership->members.size()},
+                   {"changed", now_.changes.size()}});
     }
     next_.start(0);  // there may be a newer one
 }
--- a/src/files/source.h
+++ b/src/files/source.h
@@ -4,7 +4,6 @@
 #pragma once
 
 #include <condition_variable>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -42,10 +41,19 @@
     double refusedMs = 0;
     std::uint64_t accepted = 0, refused = 0, incomplete = 0, reads = 0, keepFailed = 0, overflows = 0;
 
+    /// The same for the log.
+    [[nodiscard]] LogFields fields(double nowMs) const;
     /// Lines of text, with ages as of `nowMs`.
     [[nodiscard]] std::string text(double nowMs) const;
 };
 
+/// A line for the log, from the thread.
+struct Note {
+    bool warn = false;
+    std::string message;
+    LogFields fields;
+};
+
 /// The thread's half: no libevent in it.
 class Reader {
 public:
@@ -65,7 +73,7 @@
     [[nodiscard]] std::optional<Handed> take(Handed spent);
     [[nodiscard]] Status status() const;
     /// Lines for the log since the last call, bounded.
-    [[nodiscard]] std::vector<std::pair<bool, std::string>> takeNotes();
+    [[nodiscard]] std::vector<Note> takeNotes();
 
 private:
     void run();
@@ -73,7 +81,7 @@
     void restoreKept();
     void handOver();
     void keep();
-    void note(bool warn, std::string text);
+    void note(bool warn, std::string message, LogFields fields);
 
     Config config_;
     const Clock& clock_;
@@ -93,7 +101,7 @@
     std::optional<Handed> handed_;
     membership::MembershipPtr taken_;  // by the loop
     std::vector<Handed> spent_;
-    std::deque<std::pair<bool, std::string>> notes_;
+    std::vector<Note> notes_;
 
     std::thread thread_;
 };
@@ -117,7 +125,7 @@
 class Source {
 public:
     Source(event_base* base, Config config, const Clock& clock, const Limits& limits, Counters& counters,
-           BoundedLog& log);
+           Log& log);
     Source(const Source&) = delete;
     Source& operator=(const Source&) = delete;
 
@@ -127,6 +135,7 @@
     void start(std::function<void(const NodeList&)> told);
 
     [[nodiscard]] std::string statusText() const;
+    [[nodiscard]] LogFields statusFields() const { return reader_.status().fields(clock_.nowMs()); }
     /// Whether all that was taken from the thread has been told on.
     [[nodiscard]] bool settled() const { return done_ >= now_.changes.size(); }
     [[nodiscard]] bool ready() const { return version_ > 0; }
@@ -143,7 +152,7 @@
     const Clock& clock_;
     const Limits& limits_;
     Counters& counters_;
-    BoundedLog& log_;
+    Log& log_;
     std::function<void(const NodeList&)> told_;
     Wake wake_;
     Reader reader_;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -137,7 +137,7 @@
 }  // namespace
 
 HttpFront::HttpFront(event_base* base, const Address& listen, Desk& desk, NodePool& pool,
-                     const limedrum::Site& site, const Limits& limits, BoundedLog& log)
+                     const limedrum::Site& site, const Limits& limits, Log& log)
     : base_(base),
       desk_(desk),
       pool_(pool),
@@ -285,7 +285,7 @@
 // What follows on such a connection may be no request at all: it ends with the answer.
 void HttpFront::refuse(evhttp_request* request, const std::string& wrong) {
     desk_.counters().add("request_malformed");
-    log_.warn("client", "malformed request: " + wrong);
+    log_.warn("client", "malformed request", {{"reason", wrong}});
     evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
     reply(request, 400, "Bad Request");
 }
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -20,7 +20,7 @@
 public:
     /// Throws std::runtime_error where `listen` cannot be bound.
     HttpFront(event_base* base, const Address& listen, Desk& desk, NodePool& pool, const limedrum::Site& site,
-              const Limits& limits, BoundedLog& log);
+              const Limits& limits, Log& log);
     ~HttpFront();
     HttpFront(const HttpFront&) = delete;
     HttpFront& operator=(const HttpFront&) = delete;
@@ -56,7 +56,7 @@
     NodePool& pool_;
     const limedrum::Site& site_;
     const Limits& limits_;
-    BoundedLog& log_;
+    Log& log_;
     bool draining_ = false;
     bool accepting_ = true;
     struct Client {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -3,6 +3,8 @@
 #include <csignal>
 #include <cstdio>
 #include <exception>
+#include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -26,12 +28,12 @@
 #endif
 }
 
-int serve(const std::string& file) {
+int serve(const std::string& file, LogForm form) {
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN);  // until there is a configuration to read anew
     Config config = readConfig();
     Extras extras = readExtras(file, config);
-    Program(std::move(config), std::move(extras)).run();
+    Program(std::move(config), std::move(extras), form).run();
     return 0;
 }
 
@@ -64,10 +66,19 @@
     std::string file;
     app.add_option("--operator", file, "the operator's file (protobuf text format)")->type_name("FILE");
     int code = 0;
-    std::function<int()> run = [&] { return serve(file); };
+    LogForm form = LogForm::text;
+    const std::map<std::string, LogForm> forms{{"text", LogForm::text}, {"json", LogForm::json}};
+    const auto addLog = [&](CLI::App& to) {
+        to.add_option("--log", form, "form of the log's lines")
+            ->type_name("text|json")
+            ->transform(CLI::CheckedTransformer(forms, CLI::ignore_case).description(""));
+    };
+    addLog(app);
+    std::function<int()> run = [&] { return serve(file, form); };
 
     CLI::App* serving = app.add_subcommand("serve", "run the scheduler (what happens without a sub-command)");
     serving->add_option("--operator", file, "the operator's file")->type_name("FILE");
+    addLog(*serving);
     CLI::App* checking = app.add_subcommand(
         "check", "check the configuration, the operator's file and the files that it names");
     checking->add_option("--operator", file, "the operator's file")->type_name("FILE");
--- a/src/membership/checks.cpp
+++ b/src/membership/checks.cpp
@@ -45,27 +45,34 @@
            std::stoi(port) >= 1 && std::stoi(port) <= 65535;
 }
 
-std::string placeText(const Place& at) {
-    return at.line > 0 ? at.file + ':' + std::to_string(at.line) : at.file;
-}
+/// An entry and the file that it stands in.
+struct Entry {
+    const Draft* draft = nullptr;
+    const DraftMember* told = nullptr;
+
+    [[nodiscard]] Place at() const { return {draft->file, told->line, told->column}; }
+    [[nodiscard]] std::string text() const {
+        return told->line > 0 ? draft->file + ':' + std::to_string(told->line) : draft->file;
+    }
+};
 
 /// Weights of one shard's ready holders.
 struct Weights {
     double least = INFINITY;  // of those above 0
     double most = 0;
-    const DraftMember* first = nullptr;
+    Entry first;
 };
 
 void checkWeights(const std::map<int, Weights>& shards, const Rules& rules, Problems& problems) {
     for (const auto& [shard, w] : shards) {
         const std::string name = "shard " + std::to_string(shard);
         if (w.most <= 0)
-            problems.add(w.first->at, "weight: all ready nodes of " + name + " have weight 0");
+            problems.add(w.first.at(), "weight: all ready nodes of " + name + " have weight 0");
         else if (w.most > w.least * rules.weightRatio)
-            problems.add(w.first->at, "weight: in " + name + " the largest is " +
-                                          std::to_string(std::llround(w.most / w.least)) +
-                                          " times the smallest, at most " +
-                                          std::to_string(std::llround(rules.weightRatio)) + " are taken");
+            problems.add(w.first.at(), "weight: in " + name + " the largest is " +
+                                           std::to_string(std::llround(w.most / w.least)) +
+                                           " times the smallest, at most " +
+                                           std::to_string(std::llround(rules.weightRatio)) + " are taken");
     }
 }
 
@@ -145,24 +152,25 @@
 
 void checkSound(const std::vector<const Draft*>& parts, const Rules& rules, double nowMs,
                 Problems& problems) {
-    std::unordered_map<std::string_view, const DraftMember*> names, dials;
+    std::unordered_map<std::string_view, Entry> names, dials;
     std::map<int, Weights> shards;
     std::size_t nodes = 0;
     for (const Draft* d : parts) {
         nodes += d->members.size();
         for (const DraftMember& entry : d->members) {
             const Member& m = entry.member;
-            const auto wrong = [&](const std::string& why) { problems.add(entry.at, why); };
+            const Entry here{d, &entry};
+            const auto wrong = [&](const std::string& why) { problems.add(here.at(), why); };
             if (!goodName(m.name))
                 wrong("name: " + quoted(m.name.substr(0, 128)) +
                       " is not 1 to 128 letters, digits, '-', '.' or '_'");
-            else if (const auto [at, fresh] = names.emplace(m.name, &entry); !fresh)
-                wrong("name: " + quoted(m.name) + " is also in " + placeText(at->second->at));
+            else if (const auto [at, fresh] = names.emplace(m.name, here); !fresh)
+                wrong("name: " + quoted(m.name) + " is also in " + at->second.text());
             if (!goodDial(m.dial))
                 wrong("dial: " + quoted(m.dial.substr(0, 128)) + " is not host:port");
-            else if (const auto [at, fresh] = dials.emplace(m.dial, &entry); !fresh)
+            else if (const auto [at, fresh] = dials.emplace(m.dial, here); !fresh)
                 wrong("dial: " + quoted(m.dial) + " is also the address of " +
-                      quoted(at->second->member.name) + " in " + placeText(at->second->at));
+                      quoted(at->second.told->member.name) + " in " + at->second.text());
             if (m.shard < 0 || (rules.shards > 0 && m.shard >= rules.shards))
                 wrong("shard: " + std::to_string(m.shard) + " is unknown" +
                       (rules.shards > 0 ? ", they are numbered from 0 to " + std::to_string(rules.shards - 1)
@@ -177,7 +185,7 @@
                 wrong("born_ms: lies in the future");
             if (m.state != State::ready) continue;
             Weights& w = shards[m.shard];
-            if (w.first == nullptr) w.first = &entry;
+            if (w.first.told == nullptr) w.first = here;
             w.most = std::max(w.most, m.weight);
             if (m.weight > 0) w.least = std::min(w.least, m.weight);
         }
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -58,7 +58,8 @@
 struct DraftMember {
     Member member;
     bool bornTold = false;
-    Place at;
+    int line = 0;  // in its draft's file
+    int column = 0;
 };
 /// One file as it was read: every value is typed, nothing is checked.
 struct Draft {
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -349,8 +349,7 @@
 
 void Front::FreeListener::operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
 
-Front::Front(event_base* base, NbdConfig config, Desk& desk, Pool& pool, const Limits& limits,
-             BoundedLog& log)
+Front::Front(event_base* base, NbdConfig config, Desk& desk, Pool& pool, const Limits& limits, Log& log)
     : base_(base),
       config_(std::move(config)),
       desk_(desk),
--- a/src/nbd/front.h
+++ b/src/nbd/front.h
@@ -19,7 +19,7 @@
 class Front {
 public:
     /// Throws std::runtime_error where the operator's address cannot be bound.
-    Front(event_base* base, NbdConfig config, Desk& desk, Pool& pool, const Limits& limits, BoundedLog& log);
+    Front(event_base* base, NbdConfig config, Desk& desk, Pool& pool, const Limits& limits, Log& log);
     ~Front();
     Front(const Front&) = delete;
     Front& operator=(const Front&) = delete;
@@ -43,7 +43,7 @@
     Desk& desk_;
     Pool& pool_;
     const Limits& limits_;
-    BoundedLog& log_;
+    Log& log_;
     bool closing_ = false;
     std::uint64_t taken_ = 0;  // names the requests
     std::map<Session*, std::unique_ptr<Session>> sessions_;
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -9,7 +9,7 @@
 namespace martencove {
 
 Discovery::Discovery(event_base* base, Address address, std::int64_t version, const Limits& limits,
-                     Counters& counters, BoundedLog& log, std::function<void(const NodeList&)> told)
+                     Counters& counters, Log& log, std::function<void(const NodeList&)> told)
     : base_(base),
       address_(std::move(address)),
       version_(version),
@@ -81,7 +81,7 @@
         if (list.whole || !list.nodes.empty()) told_(list);
     } catch (const limedrum::fields::FieldError& error) {
         counters_.add("discovery_bad");
-        log_.warn("discovery", std::string("list ignored: ") + error.what());
+        log_.warn("discovery", "list ignored", {{"reason", error.what()}});
         next_.start(limits_.watchAgainMs);
     }
 }
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -15,7 +15,7 @@
 class Discovery {
 public:
     Discovery(event_base* base, Address address, std::int64_t version, const Limits& limits,
-              Counters& counters, BoundedLog& log, std::function<void(const NodeList&)> told);
+              Counters& counters, Log& log, std::function<void(const NodeList&)> told);
     Discovery(const Discovery&) = delete;
     Discovery& operator=(const Discovery&) = delete;
 
@@ -35,7 +35,7 @@
     bool wantsWhole_ = false;
     const Limits& limits_;
     Counters& counters_;
-    BoundedLog& log_;
+    Log& log_;
     std::function<void(const NodeList&)> told_;
     Owned<evhttp_connection> connection_;
     Timer next_;
--- a/src/net/log.h
+++ b/src/net/log.h
@@ -1,39 +1,56 @@
-// Log lines that hostile input could multiply are bounded by kind.
+// The program's log: one form of line for all parts, on spdlog. A line has a part, a message and fields, as
+// text
+//   [time] [level] PART: MESSAGE key=value key="a value"
+// or, by option, as one JSON object with time, level, part, message and the fields by their keys.
 #pragma once
 
-#include <spdlog/spdlog.h>
-
+#include <cstdint>
 #include <map>
 #include <string>
+#include <variant>
+#include <vector>
 
 #include "core/clock.h"
 #include "core/limits.h"
 
 namespace martencove {
 
-/// Lets through so many lines of a kind in a second, and counts the rest.
-class BoundedLog {
+enum class LogForm { text, json };
+
+struct LogField {
+    std::string key;
+    std::variant<std::string, std::int64_t> value;
+
+    LogField(std::string k, std::string v) : key(std::move(k)), value(std::move(v)) {}
+    LogField(std::string k, const char* v) : key(std::move(k)), value(std::string(v)) {}
+    template <typename Number>
+    requires std::is_integral_v<Number> LogField(std::string k, Number v)
+        : key(std::move(k)), value(static_cast<std::int64_t>(v)) {}
+};
+using LogFields = std::vector<LogField>;
+
+/// Warnings are what clients, nodes, peers or files can cause: so many of a part in a second are let through,
+/// the rest is counted. What the program says of itself is not bounded. What others wrote stands in fields
+/// alone, where no byte of it can look like a line of its own.
+class Log {
 public:
-    BoundedLog(const Clock& clock, const Limits& limits) : clock_(clock), most_(limits.logLinesPerSecond) {}
-
-    void warn(const std::string& kind, const std::string& text) {
-        Kind& k = kinds_[kind];
-        const double now = clock_.nowMs();
-        if (now - k.sinceMs >= 1000) {
-            if (k.lines > most_) spdlog::warn("{}: {} more lines left out", kind, k.lines - most_);
-            k = {now, 0};
-        }
-        if (++k.lines <= most_) spdlog::warn("{}: {}", kind, text);
-    }
+    Log(const Clock& clock, const Limits& limits, LogForm form);
+
+    void info(const std::string& part, const std::string& message, const LogFields& fields = {}) const;
+    void warn(const std::string& part, const std::string& message, const LogFields& fields = {});
 
 private:
-    struct Kind {
+    [[nodiscard]] std::string line(const std::string& part, const std::string& message,
+                                   const LogFields& fields) const;
+
+    struct Part {
         double sinceMs = 0;
         std::size_t lines = 0;
     };
     const Clock& clock_;
     std::size_t most_;
-    std::map<std::string, Kind> kinds_;
+    LogForm form_;
+    std::map<std::string, Part> parts_;
 };
 
 }  // namespace martencove
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -10,7 +10,7 @@
 namespace martencove {
 
 Peers::Peers(event_base* base, const Address& listen, std::vector<Address> peers, const Limits& limits,
-             Counters& counters, BoundedLog& log, std::function<void(const PeerMessage&)> heard)
+             Counters& counters, Log& log, std::function<void(const PeerMessage&)> heard)
     : peers_(std::move(peers)), limits_(limits), counters_(counters), log_(log), heard_(std::move(heard)) {
     socket_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const sockaddr_in address = listen.socketAddress();
--- a/src/net/peers.h
+++ b/src/net/peers.h
@@ -17,7 +17,7 @@
 public:
     /// Throws std::system_error where `listen` cannot be bound.
     Peers(event_base* base, const Address& listen, std::vector<Address> peers, const Limits& limits,
-          Counters& counters, BoundedLog& log, std::function<void(const PeerMessage&)> heard);
+          Counters& counters, Log& log, std::function<void(const PeerMessage&)> heard);
     ~Peers();
     Peers(const Peers&) = delete;
     Peers& operator=(const Peers&) = delete;
@@ -33,7 +33,7 @@
     std::vector<Address> peers_;  // by number
     const Limits& limits_;
     Counters& counters_;
-    BoundedLog& log_;
+    Log& log_;
     std::function<void(const PeerMessage&)> heard_;
     int socket_ = -1;
     Owned<event> event_;
--- a/tests/program/world.h
+++ b/tests/program/world.h
@@ -119,7 +119,8 @@
         event_base* get() const { return at; }
     } base;
     Json config;
-    Json nbd, etcd, xds, nodes;  ///< sections of the operator's file; null: not there
+    Json nbd, etcd, xds, nodes;          ///< sections of the operator's file; null: not there
+    std::vector<std::string> arguments;  ///< further ones on the command line
     Address listen, nbdListen, peerListen;
     std::string log;  ///< what the program wrote
     int watches = 0;  ///< calls that discovery got
