Give back the module's entries for shards that nobody holds, and test returns and half files

New program tests: a node that leaves and returns is the same, one at another address is cold; half-written versions name a node that no whole one names, which got no request in a thousand rewrites.

--- a/src/cli/nodes.cpp
+++ b/src/cli/nodes.cpp
@@ -29,7 +29,7 @@
         }
         Draft unread;
         unread.file = file;
-        unread.problems.push_back({{file, 0, 0}, content.error, membership::Severity::refused});
+        unread.problems.emplace_back(membership::Place{file, 0, 0}, content.error);
         out.push_back(std::move(unread));
     }
     return out;
--- a/src/files/node_file.cpp
+++ b/src/files/node_file.cpp
@@ -131,11 +131,11 @@
                     : "the sha256 in its last line is not that of what stands before it: half written, or "
                       "edited without sealing it again";
     if (!seal.good && wholeOnly) {
-        out.problems.push_back({{file, 0, 0}, broken, Severity::incomplete});
+        out.problems.emplace_back(membership::Place{file, 0, 0}, broken, Severity::incomplete);
         return out;
     }
     if (bytes.size() > std::numeric_limits<int>::max() / 2) {
-        out.problems.push_back({{file, 0, 0}, "too long", Severity::refused});
+        out.problems.emplace_back(membership::Place{file, 0, 0}, "too long");
         return out;
     }
     NodeFile message;
@@ -147,7 +147,7 @@
         out.problems.push_back(error.problem(file, severity));
     else
         fill(message, tree, out);
-    if (!seal.good) out.problems.push_back({{file, 0, 0}, broken, Severity::incomplete});
+    if (!seal.good) out.problems.emplace_back(membership::Place{file, 0, 0}, broken, Severity::incomplete);
     return out;
 }
 
--- a/src/files/reader.cpp
+++ b/src/files/reader.cpp
@@ -149,8 +149,8 @@
         }
         membership::Draft unread;
         unread.file = file;
-        unread.problems.push_back(
-            {{file, 0, 0}, content.error, content.missing ? Severity::incomplete : Severity::refused});
+        unread.problems.emplace_back(membership::Place{file, 0, 0}, content.error,
+                                     content.missing ? Severity::incomplete : Severity::refused);
         drafts.push_back(std::move(unread));
     }
     const double now = clock_.nowMs();
--- a/src/limedrum/fleet.h
+++ b/src/limedrum/fleet.h
@@ -84,7 +84,7 @@
             if (!c.idle() || active.contains(id) || std::any_of(c.holders.begin(), c.holders.end(), pressed))
                 return false;
             c.live = false;
-            if (id < 0 && c.holders.empty()) cells.erase(id);
+            if (c.holders.empty()) cells.erase(id);
             return true;
         });
     }
--- a/src/membership/checks.cpp
+++ b/src/membership/checks.cpp
@@ -103,11 +103,12 @@
 
 void Problems::add(Place at, std::string reason, Severity severity) {
     if (found_.size() >= most_) return void(++more_);
-    found_.push_back({std::move(at), std::move(reason), severity});
+    found_.emplace_back(std::move(at), std::move(reason), severity);
 }
 
 std::vector<Problem> Problems::take() {
-    if (more_ > 0) found_.push_back({{}, std::to_string(more_) + " more problems", found_.back().severity});
+    if (more_ > 0)
+        found_.emplace_back(Place{}, std::to_string(more_) + " more problems", found_.back().severity);
     return std::move(found_);
 }
 
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -7,6 +7,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace martencove::membership {
@@ -42,6 +43,8 @@
     std::string reason;
     Severity severity = Severity::refused;
 
+    Problem(Place where, std::string why, Severity how = Severity::refused)
+        : at(std::move(where)), reason(std::move(why)), severity(how) {}
     /// "FILE:LINE:COLUMN: REASON", without what is not known.
     [[nodiscard]] std::string text() const;
 };
--- a/tests/files/source_test.cpp
+++ b/tests/files/source_test.cpp
@@ -177,6 +177,7 @@
 // moments. Each version names two of four nodes, in turn; the nodes' own records show which served when.
 TEST_CASE("files: a thousand rewrites under traffic") {
     FileWorld t;
+    t.nodes.push_back(std::make_unique<HttpNode>(t.world.base.get(), serve));
     std::mt19937_64 random(20261202);
     MESSAGE("seed 20261202");
     const auto pair = [](std::uint64_t v) {
@@ -232,9 +233,12 @@
                 std::ofstream(t.dir() + "/next") << text;
                 fs::rename(t.dir() + "/next", t.file());
                 break;
-            case 3:  // left half written
-                t.put(text.substr(0, cut));
+            case 3: {  // left half written, and naming a node that no whole version names
+                const std::string half = t.version(
+                    number, {4}, text.substr(text.find("permit"), text.find("node {") - text.find("permit")));
+                t.put(half.substr(0, half.size() - 3 - random() % (half.size() / 2)));
                 break;
+            }
             case 4:  // deleted, and made anew
                 fs::remove(t.file());
                 t.put(text);
@@ -269,7 +273,8 @@
     REQUIRE(t.world.until([&] { return answered == sent; }));
     const long long swaps = t.world.counter("files_accepted");
     CHECK_MESSAGE(swaps > 200, swaps);
-    CHECK(good == sent);  // nothing lost, nothing failed, nothing refused
+    CHECK(good == sent);                  // nothing lost, nothing failed, nothing refused
+    CHECK(t.nodes[4]->requests.empty());  // only whole versions were ever in force
     std::map<std::string, int> seen;
     for (const auto& node : t.nodes)
         for (const HttpText& request : node->requests) ++seen[request.header("Req-Id")];
@@ -361,3 +366,35 @@
     CHECK(lines > 4);
     CHECK(refusals >= 1);
 }
+
+TEST_CASE("files: a node that leaves and returns, and one replaced under its name") {
+    FileWorld t;
+    t.world.config["settings"]["Rules"].update(
+        {{"ColdShare", 0.25}, {"WarmWithinMs", 20000}, {"FallMs", 1000}});
+    t.world.config["settings"]["FamilyInfo"]["ColdUnits"] = 8;
+    t.world.nodes["depart_s"] = 30;
+    t.put(t.version(1, {0, 1, 2, 3}));
+    t.world.start();
+    REQUIRE(t.inForce(1));
+    const auto units = [&](std::size_t node) {  // what it gets of a burst that would be much for a cold one
+        const std::size_t before = t.nodes[node]->requests.size();
+        for (int i = 0; i < 80; ++i) {
+            std::string text = t.world.request("b" + std::to_string(++t.asked));
+            char name[17];
+            std::snprintf(name, sizeof name, "%016x", i);
+            t.world.connect().send(text.replace(text.find("7f3a9c21e0b4d655"), 16, name));
+        }
+        (void)t.world.until([] { return false; }, 600);
+        return 2 * (t.nodes[node]->requests.size() - before);
+    };
+    REQUIRE(units(3) > 20);
+    t.put(t.version(2, {0, 1, 2}));
+    REQUIRE(t.inForce(2));
+    t.put(t.version(3, {0, 1, 2, 3}));
+    REQUIRE(t.inForce(3));
+    CHECK(units(3) > 20);  // the same process: it is warm
+    t.nodes[3] = std::make_unique<HttpNode>(t.world.base.get(), serve);
+    t.put(t.version(4, {0, 1, 2, 3}));  // the same name at another address
+    REQUIRE(t.inForce(4));
+    CHECK(units(3) <= 16);  // a just started one gets what the cold rule allows
+}
--- a/tests/limedrum/spread_test.cpp
+++ b/tests/limedrum/spread_test.cpp
@@ -291,3 +291,15 @@
     s.d.pass(s.d.nowMs + 70'000, 10);
     CHECK(s.d.tableSize() <= before);
 }
+
+// Guards against a client that names shards which nobody holds: each left an entry for good.
+TEST_CASE("shards that nobody holds leave nothing behind") {
+    Driver d(plainSettings());
+    d.pass(6000, 10);
+    const std::size_t before = d.tableSize();
+    for (int i = 0; i < 500; ++i)
+        d.give(d.nowMs + 1, request("s" + std::to_string(i), d.nowMs + 500, 1000 + i));
+    d.pass(d.nowMs + 70'000, 10);
+    CHECK(d.answers() == 500);
+    CHECK(d.tableSize() <= before);
+}
