Draw a serving node for a new object however few serve, and find nodes by hash

Eight cells drawn of thousands could all be without a serving node; then nothing was found for a new object that another could take. Draws pass such cells over, and the whole fleet is looked at where none is met. The test with one serving node of a thousand fails before.

--- a/src/limedrum/decide.cpp
+++ b/src/limedrum/decide.cpp
@@ -110,10 +110,10 @@
 
     std::vector<NodeView> view() const {
         std::vector<NodeView> out;
-        for (const auto& [id, n] : fleet_.nodes) {
-            if (n.state == NodeState::gone) continue;
-            const bool chosen = nodeOf(fleet_.cells.at(n.cell)) == &n;
-            out.push_back({id, n.shard, n.state, chosen, n.silentSinceMs > 0, n.rate});
+        for (const Node* n : fleet_.nodesInOrder()) {
+            if (n->state == NodeState::gone) continue;
+            const bool chosen = nodeOf(fleet_.cells.at(n->cell)) == n;
+            out.push_back({n->id, n->shard, n->state, chosen, n->silentSinceMs > 0, n->rate});
         }
         return out;
     }
@@ -175,16 +175,16 @@
     // A new object may go to any node: to the one that should answer first, of a few drawn if they are many.
     CellId chooseCell(double units) {
         std::vector<Cell*> looks;
-        double usual = 0;  // of a node not yet known
-        int known = 0;
+        double usual = 0, known = 0;  // of a node not yet known
         const auto learn = [&](const Node& n) { usual += n.unitMs, known += n.unitMs > 0; };
         if (fleet_.open.size() <= kLooks) {
             looks = fleet_.inOrder();
-            for (const auto& [id, n] : fleet_.nodes) learn(n);
+            for (const Node* n : fleet_.nodesInOrder()) learn(*n);
         } else {
-            while (looks.size() < kLooks / 4)
-                looks.push_back(fleet_.open[random_.below(static_cast<int>(fleet_.open.size()))]);
-            for (const Cell* c : looks) learn(*c->holders.front());
+            for (std::size_t draws = 0; draws < kLooks && looks.size() < kLooks / 4; ++draws)
+                if (Cell* c = fleet_.open[random_.below(static_cast<int>(fleet_.open.size()))]; nodeOf(*c))
+                    looks.push_back(c), learn(*c->holders.front());
+            if (looks.empty()) looks = fleet_.inOrder();
         }
         usual = known > 0 ? usual / known : 1;
         CellId best = -1;
--- a/src/limedrum/fleet.h
+++ b/src/limedrum/fleet.h
@@ -12,7 +12,7 @@
 namespace limedrum {
 
 struct Fleet {
-    std::map<NodeId, Node> nodes;
+    std::unordered_map<NodeId, Node> nodes;
     std::unordered_map<CellId, Cell> cells;
     std::map<int, std::vector<Node*>> spreads;  // by shard: its weighted holders
     std::vector<Cell*> open;                    // cells with holders, in no order: one is drawn in one step
@@ -31,6 +31,12 @@
         std::sort(out.begin(), out.end(), [](const Cell* a, const Cell* b) { return a->id < b->id; });
         return out;
     }
+    std::vector<const Node*> nodesInOrder() const {
+        std::vector<const Node*> out;
+        for (const auto& [id, n] : nodes) out.push_back(&n);
+        std::sort(out.begin(), out.end(), [](const Node* a, const Node* b) { return a->id < b->id; });
+        return out;
+    }
     /// From now on rounds look at the cell, until it rests.
     Cell& touch(CellId id) {
         Cell& c = cellOf(id);
--- a/tests/files/source_test.cpp
+++ b/tests/files/source_test.cpp
@@ -130,6 +130,10 @@
         replace([&] { REQUIRE(mkfifo(t.file().c_str(), 0600) == 0); });
         CHECK(t.refused("is not a regular file"));
     }
+    SUBCASE("a link to itself") {
+        replace([&] { fs::create_symlink("nodes.textproto", t.file()); });
+        CHECK(t.refused("cannot be opened: Too many levels of symbolic links"));
+    }
     SUBCASE("a folder: the files in it are meant") {
         replace([&] { fs::create_directory(t.file()); });
         CHECK(t.refused("no files of nodes are there"));
--- a/tests/limedrum/spread_test.cpp
+++ b/tests/limedrum/spread_test.cpp
@@ -303,3 +303,21 @@
     CHECK(d.answers() == 500);
     CHECK(d.tableSize() <= before);
 }
+
+// Of a large fleet a few nodes are drawn for a new object; one that serves is found however few there are.
+TEST_CASE("a new object finds the only node that serves among a thousand") {
+    Driver d(plainSettings(), 1, 0, 1000);
+    ListEvent list{ListKind::update, {}};
+    for (int i = 0; i < 1000; ++i)
+        if (i != 637)
+            list.entries.push_back({.node = NodeId(100 + i), .cell = i, .state = NodeState::draining});
+    d.give(1, list);
+    for (int i = 0; i < 20; ++i) {
+        RequestEvent r = request("n" + std::to_string(i), d.nowMs + 1000, -1);
+        d.give(d.nowMs + 1, r);
+        d.outcome(d.nowMs, r.id, 0, 737, Outcome::done, 5);
+    }
+    CHECK(d.sends() == 20);
+    for (const Action& a : d.all)
+        if (const auto* send = std::get_if<Send>(&a)) CHECK(send->node == 737);
+}
