Refuse sections of the operator's file that the build cannot serve

A section etcd or xds was passed over without a word in a build without it, so that an operator would believe it on. serve and check now say which CMake option is missing and exit with 1. Tried by hand with a build that has neither; the tests' build has both.

--- a/src/main.cpp
+++ b/src/main.cpp
@@ -20,7 +20,16 @@
 
 Extras readExtras(const std::string& file, Config& config) {
 #ifdef MARTENCOVE_OPERATOR
-    return file.empty() ? Extras{} : readOperator(file, config.site, config.limits);
+    if (file.empty()) return {};
+    Extras extras = readOperator(file, config.site, config.limits);
+    // A section that this build cannot serve is no section to pass over.
+#ifndef MARTENCOVE_ETCD
+    if (extras.etcd) throw ConfigError(file + ": etcd: not in this build (CMake option MARTENCOVE_ETCD)");
+#endif
+#ifndef MARTENCOVE_XDS
+    if (extras.xds) throw ConfigError(file + ": xds: not in this build (CMake option MARTENCOVE_XDS)");
+#endif
+    return extras;
 #else
     (void)config;
     if (!file.empty()) throw ConfigError("--operator: not in this build (CMake option MARTENCOVE_OPERATOR)");
