Read text files, versions' files and members by one piece of code each

Read through once more, the change had written some things twice: the collector of protobuf's first error (node files, operator's file), the loop that reads a version's files (program, nodes check), the look-up of a member by name (a search and two maps), and a struct that copied the operator's NBD export field by field only to keep the parser out of a file. Now files::parseText, files::readNodeFiles, membership::find and serves, and config/nbd_section.cpp, which reads the message itself. Accessors, includes and a variable that nothing used are gone; the option for the operator's file is described once.

--- a/bench/swap.cpp
+++ b/bench/swap.cpp
@@ -38,7 +38,7 @@
 }
 
 struct Bench {
-    explicit Bench(const std::string& path, int nodes)
+    explicit Bench(const std::string& path)
         : base(makeBase()),
           log(clock, limits, LogForm::text),
           source(base.get(), config(path), clock, limits, counters, log),
@@ -46,8 +46,7 @@
           facade(settings(), 1, clock.nowMs(), known),
           desk(facade, clock, limits, counters,
                {[](double) {}, [](const PeerMessage&) {}, [](const std::string&) {}}, known),
-          beat(base.get(), [this] { step(); }),
-          expected(nodes) {
+          beat(base.get(), [this] { step(); }) {
         source.start([this](const NodeList& list) { desk.learn(list); });
         lastMs = clock.nowMs();
         beat.start(0.1);
@@ -88,7 +87,6 @@
     Facade facade;
     Desk desk;
     Timer beat;
-    int expected;
     double lastMs = 0;
     double longestMs = 0;
     std::uint64_t wanted = 0;
@@ -106,7 +104,7 @@
     const std::string path = folder + "/nodes.textproto";
     for (const int nodes : sizes) {
         std::ofstream(path) << version(1, nodes);
-        Bench bench(path, nodes);
+        Bench bench(path);
         bench.until(1);
         for (std::uint64_t number = 2; number <= 6; ++number) {  // every weight changes each time
             const std::string text = version(number, nodes);
--- a/src/cli/nodes.cpp
+++ b/src/cli/nodes.cpp
@@ -19,20 +19,7 @@
 using membership::Ruling;
 
 std::vector<Draft> read(const std::vector<std::string>& paths) {
-    std::vector<Draft> out;
-    const Limits limits;
-    for (const std::string& file : files::filesOf(paths)) {
-        const files::Content content = files::readWhole(file, limits.nodeFileBytes);
-        if (content.error.empty()) {
-            out.push_back(files::decodeNodeFile(file, content.bytes, false));
-            continue;
-        }
-        Draft unread;
-        unread.file = file;
-        unread.problems.emplace_back(membership::Place{file, 0, 0}, content.error);
-        out.push_back(std::move(unread));
-    }
-    return out;
+    return files::readNodeFiles(files::filesOf(paths), Limits().nodeFileBytes, false);
 }
 
 /// Prints why a version does not come into force; true: it does.
--- a/src/config/operator.cpp
+++ b/src/config/operator.cpp
@@ -1,12 +1,9 @@
 #include "config/operator.h"
 
-#include <google/protobuf/io/tokenizer.h>
-#include <google/protobuf/text_format.h>
-
-#include <cmath>
-
 #include "config/config.h"
+#include "config/nbd_section.h"
 #include "files/read.h"
+#include "files/text_format.h"
 #include "operator.pb.h"
 #include "settings_json/fields.h"
 
@@ -17,14 +14,6 @@
 using limedrum::fields::complain;
 using limedrum::fields::FieldError;
 
-class FirstError final : public pb::io::ErrorCollector {
-public:
-    void AddError(int line, int column, const std::string& message) override {
-        if (text.empty()) text = std::to_string(line + 1) + ':' + std::to_string(column + 1) + ": " + message;
-    }
-    std::string text;
-};
-
 /// A message of the file, with the places where its fields stand.
 template <typename Message>
 struct Section {
@@ -83,23 +72,6 @@
     return out;
 }
 
-NbdExportTold exportOf(const config::NbdExport& in) {
-    NbdExportTold out;
-    out.name = need(in.name(), "name");
-    out.bytes = in.bytes();
-    out.volume = need(in.volume(), "volume");
-    out.plan = need(in.plan(), "plan");
-    if (!in.has_shard()) complain("shard", "missing");
-    out.shard = in.shard();
-    out.hosts = in.has_hosts() ? in.hosts() : 1;
-    out.readOnly = in.read_only();
-    out.readClass = need(in.read_class(), "read_class");
-    out.writeClass = in.write_class();
-    if (in.has_read_deadline_ms()) out.readDeadlineMs = in.read_deadline_ms();
-    if (in.has_write_deadline_ms()) out.writeDeadlineMs = in.write_deadline_ms();
-    return out;
-}
-
 NbdConfig nbdOf(const Section<config::NbdSection>& section, limedrum::Site& site) {
     NbdConfig out;
     section.checked([&](const config::NbdSection& in) {
@@ -110,7 +82,7 @@
     });
     for (int i = 0; i < section.in.exports_size(); ++i) {
         section.inner(section.in.exports(i), "exports", i).checked([&](const config::NbdExport& in) {
-            addExport(out, exportOf(in), site);
+            addExport(out, in, site);
         });
     }
     return out;
@@ -122,12 +94,10 @@
     const files::Content content = files::readWhole(path, limits.operatorBytes);
     if (!content.error.empty()) throw ConfigError(path + ": " + content.error);
     config::Operator message;
-    pb::TextFormat::Parser parser;
     pb::TextFormat::ParseInfoTree tree;
-    FirstError error;
-    parser.RecordErrorsTo(&error);
-    parser.WriteLocationsTo(&tree);
-    if (!parser.ParseFromString(content.bytes, &message)) throw ConfigError(path + ':' + error.text);
+    if (const auto error = files::parseText(content.bytes, message, &tree))
+        throw ConfigError(path + ':' + std::to_string(error->line) + ':' + std::to_string(error->column) +
+                          ": " + error->reason);
 
     const Section<config::Operator> top{message, &tree, path};
     OperatorConfig out;
--- a/src/config/operator.h
+++ b/src/config/operator.h
@@ -7,6 +7,7 @@
 #include "config/nbd_config.h"
 #include "files/source.h"
 #include "net/address.h"
+#include "settings_json/settings_json.h"
 
 namespace martencove {
 
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -29,8 +29,8 @@
     }
     /// One "name value" line each, in order of the names.
     [[nodiscard]] std::string text() const {
-        std::string lines = "answer_bytes " + std::to_string(answerBytes) + '\n';
-        for (const auto& [name, count] : counts_) lines += name + ' ' + std::to_string(count) + '\n';
+        std::string lines;
+        for (const auto& [name, count] : all()) lines += name + ' ' + std::to_string(count) + '\n';
         return lines;
     }
 
--- a/src/files/node_file.cpp
+++ b/src/files/node_file.cpp
@@ -1,14 +1,15 @@
 #include "files/node_file.h"
 
-#include <google/protobuf/io/tokenizer.h>
-#include <google/protobuf/text_format.h>
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <array>
 #include <cmath>
 #include <limits>
 #include <stdexcept>
 
+#include "files/read.h"
+#include "files/text_format.h"
 #include "nodes.pb.h"
 
 namespace martencove::files {
@@ -31,32 +32,8 @@
     return out;
 }
 
-/// Keeps the first error: the others follow from it.
-class FirstError final : public pb::io::ErrorCollector {
-public:
-    void AddError(int line, int column, const std::string& message) override {
-        if (!reason_.empty()) return;
-        line_ = line + 1;
-        column_ = column + 1;
-        reason_ = message;
-    }
-    [[nodiscard]] membership::Problem problem(const std::string& file, Severity severity) const {
-        return {{file, line_, column_}, reason_.empty() ? "cannot be read" : reason_, severity};
-    }
-
-private:
-    int line_ = 0;
-    int column_ = 0;
-    std::string reason_;
-};
-
-bool parse(std::string_view bytes, pb::Message& into, FirstError& error,
-           pb::TextFormat::ParseInfoTree* tree) {
-    pb::TextFormat::Parser parser;
-    parser.RecordErrorsTo(&error);
-    if (tree != nullptr) parser.WriteLocationsTo(tree);
-    pb::io::ArrayInputStream stream(bytes.data(), static_cast<int>(bytes.size()));
-    return parser.Parse(&stream, &into);
+membership::Problem problemOf(const TextError& error, const std::string& file, Severity severity) {
+    return {{file, error.line, error.column}, error.reason, severity};
 }
 
 membership::Member memberOf(const Node& node) {
@@ -139,18 +116,35 @@
         return out;
     }
     NodeFile message;
-    FirstError error;
     pb::TextFormat::ParseInfoTree tree;
     // What is sealed is as its writer meant it: an error in it does not heal by waiting.
     const Severity severity = seal.good ? Severity::refused : Severity::incomplete;
-    if (!parse(bytes, message, error, &tree))
-        out.problems.push_back(error.problem(file, severity));
+    if (const auto error = parseText(bytes, message, &tree))
+        out.problems.push_back(problemOf(*error, file, severity));
     else
         fill(message, tree, out);
     if (!seal.good) out.problems.emplace_back(membership::Place{file, 0, 0}, broken, Severity::incomplete);
     return out;
 }
 
+std::vector<Draft> readNodeFiles(const std::vector<std::string>& files, std::size_t most, bool wholeOnly) {
+    std::vector<Draft> out;
+    for (const std::string& file : files) {
+        const Content content = readWhole(file, most);
+        most -= std::min(content.bytes.size(), most);
+        if (content.error.empty()) {
+            out.push_back(decodeNodeFile(file, content.bytes, wholeOnly));
+            continue;
+        }
+        Draft unread;
+        unread.file = file;
+        unread.problems.emplace_back(membership::Place{file, 0, 0}, content.error,
+                                     content.missing ? Severity::incomplete : Severity::refused);
+        out.push_back(std::move(unread));
+    }
+    return out;
+}
+
 std::string sealed(const std::string& body, std::uint64_t version) {
     const std::string whole = body.empty() || body.back() == '\n' ? body : body + '\n';
     return whole + "end { version: " + std::to_string(version) + " sha256: \"" + sha256(whole) + "\" }\n";
@@ -158,10 +152,9 @@
 
 std::string sealAgain(const std::string& file, const std::string& bytes) {
     NodeFile message;
-    FirstError error;
     const std::string old = bytes.substr(0, sealOf(bytes).bodyBytes);
-    if (!parse(old, message, error, nullptr))
-        throw std::invalid_argument(error.problem(file, Severity::refused).text());
+    if (const auto error = parseText(old, message))
+        throw std::invalid_argument(problemOf(*error, file, Severity::refused).text());
     if (message.version() == 0)
         throw std::invalid_argument(file + ": version: missing or 0, they count from 1");
     // What a person wrote stays as it is, comments too; only a count that is wrong is put right.
@@ -200,11 +193,10 @@
 membership::Membership decodeKept(std::string_view bytes, std::string& problem) {
     membership::Membership out;
     KeptVersion message;
-    FirstError error;
     if (!sealOf(bytes).good) {
         problem = "not whole";
-    } else if (!parse(bytes, message, error, nullptr)) {
-        problem = error.problem("", Severity::refused).text();
+    } else if (const auto error = parseText(bytes, message)) {
+        problem = problemOf(*error, "", Severity::refused).text();
     } else if (message.version() == 0 || message.version() != message.end().version()) {
         problem = "version: missing, or not the same at both ends";
     } else {
--- a/src/files/node_file.h
+++ b/src/files/node_file.h
@@ -4,6 +4,7 @@
 #include <cstddef>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "membership/membership.h"
 
@@ -24,6 +25,11 @@
 [[nodiscard]] membership::Draft decodeNodeFile(const std::string& file, std::string_view bytes,
                                                bool wholeOnly);
 
+/// All files of a version, `most` bytes together. One that cannot be read is a draft with that as its
+/// problem.
+[[nodiscard]] std::vector<membership::Draft> readNodeFiles(const std::vector<std::string>& files,
+                                                           std::size_t most, bool wholeOnly);
+
 /// A body (all fields but `end`) with the seal's line behind it.
 [[nodiscard]] std::string sealed(const std::string& body, std::uint64_t version);
 /// The same for a file that has been edited by hand: its count is set, its end is made new. Throws
--- a/src/files/reader.cpp
+++ b/src/files/reader.cpp
@@ -16,7 +16,6 @@
 namespace {
 
 using membership::Ruling;
-using membership::Severity;
 
 std::string age(double ms) {
     char text[32];
@@ -137,22 +136,7 @@
 void Reader::readAll(bool settled) {
     const std::vector<std::string> files = filesOf(config_.paths);
     seen_ = fingerprint(files);
-    std::vector<membership::Draft> drafts;
-    std::size_t bytes = 0;
-    for (const std::string& file : files) {
-        const Content content =
-            readWhole(file, limits_.nodeFileBytes - std::min(bytes, limits_.nodeFileBytes));
-        bytes += content.bytes.size();
-        if (content.error.empty()) {
-            drafts.push_back(decodeNodeFile(file, content.bytes, !settled));
-            continue;
-        }
-        membership::Draft unread;
-        unread.file = file;
-        unread.problems.emplace_back(membership::Place{file, 0, 0}, content.error,
-                                     content.missing ? Severity::incomplete : Severity::refused);
-        drafts.push_back(std::move(unread));
-    }
+    const std::vector<membership::Draft> drafts = readNodeFiles(files, limits_.nodeFileBytes, !settled);
     const double now = clock_.nowMs();
     const membership::Verdict verdict = gate_.offer(drafts, now);
     const bool waiting = verdict.ruling == Ruling::incomplete && !settled;
@@ -166,8 +150,7 @@
         status_.accepted += verdict.ruling == Ruling::accepted;
         status_.refused += verdict.ruling == Ruling::refused;
         status_.incomplete += verdict.ruling == Ruling::incomplete;
-        if (verdict.ruling == Ruling::accepted) status_.kept = false;
-        if (verdict.ruling == Ruling::unchanged && gate_.inForce()) status_.kept = false;
+        if (verdict.ruling == Ruling::accepted || verdict.ruling == Ruling::unchanged) status_.kept = false;
         if (!waiting) {
             if (status_.refusal.empty() || lines != status_.refusal) status_.refusedMs = now;
             status_.refusal = lines;
--- a/src/files/source.h
+++ b/src/files/source.h
@@ -3,7 +3,6 @@
 // stalling.
 #pragma once
 
-#include <condition_variable>
 #include <functional>
 #include <memory>
 #include <mutex>
@@ -136,8 +135,6 @@
 
     [[nodiscard]] std::string statusText() const;
     [[nodiscard]] LogFields statusFields() const { return reader_.status().fields(clock_.nowMs()); }
-    /// Whether all that was taken from the thread has been told on.
-    [[nodiscard]] bool settled() const { return done_ >= now_.changes.size(); }
     [[nodiscard]] bool ready() const { return version_ > 0; }
     /// The version that has been told whole; 0: none yet.
     [[nodiscard]] std::uint64_t version() const { return version_; }
--- a/src/files/watch.h
+++ b/src/files/watch.h
@@ -34,8 +34,6 @@
     };
     /// Takes what has happened, and follows folders that were made, moved or linked anew.
     Seen take();
-    /// Folders watched now.
-    [[nodiscard]] std::size_t folders() const { return folders_.size(); }
 
 private:
     void follow();
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -11,7 +11,6 @@
 #include "cli/program.h"
 #ifdef MARTENCOVE_OPERATOR
 #include "cli/nodes.h"
-#include "files/watch.h"
 #endif
 
 namespace {
@@ -73,8 +72,10 @@
         "usage, 3 what was checked is not fit to use.");
     app.require_subcommand(0, 1);
     std::string file;
-    app.add_option("--operator", file, "the operator's file (protobuf text format)")->type_name("FILE");
-    int code = 0;
+    const auto addOperator = [&](CLI::App& to) {
+        to.add_option("--operator", file, "the operator's file (protobuf text format)")->type_name("FILE");
+    };
+    addOperator(app);
     LogForm form = LogForm::text;
     const std::map<std::string, LogForm> forms{{"text", LogForm::text}, {"json", LogForm::json}};
     const auto addLog = [&](CLI::App& to) {
@@ -86,11 +87,11 @@
     std::function<int()> run = [&] { return serve(file, form); };
 
     CLI::App* serving = app.add_subcommand("serve", "run the scheduler (what happens without a sub-command)");
-    serving->add_option("--operator", file, "the operator's file")->type_name("FILE");
+    addOperator(*serving);
     addLog(*serving);
     CLI::App* checking = app.add_subcommand(
         "check", "check the configuration, the operator's file and the files that it names");
-    checking->add_option("--operator", file, "the operator's file")->type_name("FILE");
+    addOperator(*checking);
     checking->callback([&] { run = [&] { return check(file); }; });
     app.add_subcommand("version", "print the version")->callback([&] {
         run = [] {
@@ -124,10 +125,9 @@
         return app.exit(error) == 0 ? 0 : 2;
     }
     try {
-        code = run();
+        return run();
     } catch (const std::exception& error) {
         std::fprintf(stderr, "martencove: %s\n", error.what());
         return 1;
     }
-    return code;
 }
--- a/src/membership/checks.cpp
+++ b/src/membership/checks.cpp
@@ -200,12 +200,10 @@
 
 void checkLoss(const Membership& before, const std::vector<Member>& after, std::size_t leaving,
                const std::vector<const Draft*>& parts, const Rules& rules, Problems& problems) {
-    std::unordered_map<std::string_view, const Member*> kept;
     std::set<std::string> racks;  // that serve afterwards
     std::set<int> shards;
     for (const Member& m : after) {
         if (!m.serving()) continue;
-        kept.emplace(m.name, &m);
         racks.insert(m.rack);
         shards.insert(m.shard);
     }
@@ -215,7 +213,7 @@
     for (const Member& m : before.members) {
         if (!m.serving()) continue;
         ++serving;
-        lost += !kept.contains(m.name);
+        lost += !serves(after, m.name);
         if (!m.rack.empty() && !racks.contains(m.rack)) ++lostRacks[m.rack];
         if (!shards.contains(m.shard)) ++lostShards[m.shard];
     }
--- a/src/membership/gate.cpp
+++ b/src/membership/gate.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <limits>
-#include <unordered_map>
 
 #include "membership/checks.h"
 
@@ -11,12 +10,6 @@
 
 const auto kByName = [](const auto& a, const auto& b) { return a.name < b.name; };
 
-const Member* find(const std::vector<Member>& members, const std::string& name) {
-    const auto at = std::lower_bound(members.begin(), members.end(), name,
-                                     [](const Member& m, const std::string& n) { return m.name < n; });
-    return at != members.end() && at->name == name ? &*at : nullptr;
-}
-
 Verdict rejected(Problems& problems, std::uint64_t version) {
     Verdict out{Ruling::incomplete, version, problems.take(), {}};
     const auto firm = [](const Problem& p) { return p.severity == Severity::refused; };
@@ -75,25 +68,19 @@
 
 // The nodes as the version names them, by name, with the start of each as far as it is known.
 std::vector<Member> Gate::merged(const std::vector<const Draft*>& parts, double nowMs) const {
-    std::unordered_map<std::string_view, const Member*> known;
-    if (inForce_) {
-        for (const Member& m : inForce_->members) known.emplace(m.name, &m);
-    }
     std::vector<Member> out;
     for (const Draft* d : parts) {
         for (const DraftMember& entry : d->members) {
             Member m = entry.member;
             m.leaving = false;
-            const auto at = known.find(m.name);
-            if (!entry.bornTold) {
-                // Seen first after the start, or at another address: a process that may just have started.
-                // One that left and came back is the same; it has kept its entry while it was leaving.
-                const bool same = at != known.end() && at->second->dial == m.dial;
-                m.bornMs = same ? at->second->bornMs : inForce_ ? nowMs : 0;
-            } else if (at != known.end() && at->second->dial == m.dial) {
-                m.bornMs =
-                    std::max(m.bornMs, at->second->bornMs);  // an older start is an older writer's word
-            }
+            // Seen first after the start, or at another address: a process that may just have started. One
+            // that left and came back is the same; it has kept its entry while it was leaving.
+            const Member* known = inForce_ ? find(inForce_->members, m.name) : nullptr;
+            const bool same = known != nullptr && known->dial == m.dial;
+            if (!entry.bornTold)
+                m.bornMs = same ? known->bornMs : inForce_ ? nowMs : 0;
+            else if (same)
+                m.bornMs = std::max(m.bornMs, known->bornMs);  // an older start is an older writer's word
             out.push_back(std::move(m));
         }
     }
@@ -103,10 +90,8 @@
 
 std::size_t Gate::lostLately(const std::vector<Member>& named, double nowMs) const {
     std::size_t count = 0;
-    for (const auto& [name, sinceMs] : lost_) {
-        const Member* now = find(named, name);
-        count += nowMs - sinceMs < rules_.departMs && (now == nullptr || !now->serving());
-    }
+    for (const auto& [name, sinceMs] : lost_)
+        count += nowMs - sinceMs < rules_.departMs && !serves(named, name);
     return count;
 }
 
@@ -115,9 +100,8 @@
     std::erase_if(leaving_, [&](const auto& e) { return find(named, e.first) != nullptr; });
     if (inForce_) {
         for (const Member& m : inForce_->members) {
-            const Member* next = find(named, m.name);
-            if (m.serving() && (next == nullptr || !next->serving())) lost_[m.name] = nowMs;
-            if (m.leaving || next != nullptr) continue;
+            if (m.serving() && !serves(named, m.name)) lost_[m.name] = nowMs;
+            if (m.leaving || find(named, m.name) != nullptr) continue;
             Leaving& l = leaving_[m.name];
             l = {m, nowMs + rules_.departMs};
             l.member.leaving = true;
--- a/src/membership/membership.cpp
+++ b/src/membership/membership.cpp
@@ -42,6 +42,17 @@
     return (out.empty() ? "" : out + ": ") + reason;
 }
 
+const Member* find(const std::vector<Member>& byName, const std::string& name) {
+    const auto at = std::lower_bound(byName.begin(), byName.end(), name,
+                                     [](const Member& m, const std::string& n) { return m.name < n; });
+    return at != byName.end() && at->name == name ? &*at : nullptr;
+}
+
+bool serves(const std::vector<Member>& byName, const std::string& name) {
+    const Member* m = find(byName, name);
+    return m != nullptr && m->serving();
+}
+
 std::vector<Change> changes(const Membership* before, const Membership& after) {
     std::vector<Change> out;
     compare(
--- a/src/membership/membership.h
+++ b/src/membership/membership.h
@@ -85,6 +85,11 @@
     double sinceMs = 0;           ///< Unix time at which it came into force
     std::vector<Member> members;  ///< by name; those that are leaving among them
 };
+/// The member of that name in a list that is sorted by name; null: none.
+[[nodiscard]] const Member* find(const std::vector<Member>& byName, const std::string& name);
+/// Whether there is one and it serves.
+[[nodiscard]] bool serves(const std::vector<Member>& byName, const std::string& name);
+
 using MembershipPtr = std::shared_ptr<const Membership>;
 
 enum class Step { ready, draining, gone };
