Leave no cell behind in the module when a request outlives its node

Cells are dropped once they rest, but several places made one by asking for it, without a round ever looking at it again: an answer or a deadline that came after the node had gone left an entry for good. All of them now go through Fleet::touch, which makes a cell and puts it before the rounds, in place of a special case at each.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -20,7 +20,7 @@
 
 class Program::Impl {
 public:
-    Impl(Config config, Extras extras, LogForm form)
+    Impl(Config config, [[maybe_unused]] Extras extras, LogForm form)
         : config_(std::move(config)),
           base_(makeBase()),
           log_(clock_, config_.limits, form),
--- a/src/limedrum/decide.cpp
+++ b/src/limedrum/decide.cpp
@@ -285,16 +285,16 @@
         v.seenMs = now_;
         if (!r.lateTry) v.now += r.told.units;  // repeats do not inflate what this host bids
         offer(r);
-        Node* n = nodeOf(fleet_.cells[r.cell]);
+        Node* n = nodeOf(fleet_.touch(r.cell));
         // What its holder has no room for goes to another that is not pressed.
-        bool over = n != nullptr && !silentFor(*n) && thinned(fleet_.cells[r.cell], *n, r);
+        bool over = n != nullptr && !silentFor(*n) && thinned(fleet_.touch(r.cell), *n, r);
         if (const CellId to = over ? route(r, n, true) : r.cell; to != r.cell) {
             r.cell = to;
             offer(r);
-            n = nodeOf(fleet_.cells[to]);
+            n = nodeOf(fleet_.touch(to));
             over = false;
         }
-        Cell& c = fleet_.cells[r.cell];
+        Cell& c = fleet_.touch(r.cell);
         Demand& d = c.volumes[event.volume];
         const PlanSettings& plan = planOf(v.plan);
         const bool silent = n != nullptr && silentFor(*n);
@@ -561,7 +561,7 @@
     }
 
     void pump(CellId cell) {
-        Cell& c = fleet_.cells[cell];
+        Cell& c = fleet_.touch(cell);
         Node* n = nodeOf(c);
         if (n == nullptr || c.queue.empty()) return;
         const double most = bound(c, *n);
@@ -655,9 +655,8 @@
             }
             if (event.outcome == Outcome::full) press(n);
             // The node did the work of an answer that was lost: it has answered what was sent later.
-            fleet_.touch(flight.cell);
             if (unsure && n.answeredSentMs > flight.sentMs)
-                fleet_.cells[flight.cell].now.served += flight.units;
+                fleet_.touch(flight.cell).now.served += flight.units;
             if (event.outcome == Outcome::done && flight.units > 0) {
                 const double took = finiteOr(event.tookMs, 0);
                 if (n.unitMs <= 0) n.unitMs = took / flight.units;
@@ -671,8 +670,8 @@
                     n.pressedUntilMs = std::min(n.pressedUntilMs, n.signMs + kPressHoldMs);
                 if (!pressed(n))
                     n.unitMs *= 1 + kUsualStep * (over > 0 ? kUsualQuantile : kUsualQuantile - 1);
-                fleet_.cells[flight.cell].now.served += flight.units;
-                if (feltPressed(n)) fleet_.cells[flight.cell].now.pressed += flight.units;
+                fleet_.touch(flight.cell).now.served += flight.units;
+                if (feltPressed(n)) fleet_.touch(flight.cell).now.pressed += flight.units;
             }
         }
         if (const auto v = volumes_.find(flight.volume); v != volumes_.end()) {
@@ -720,7 +719,7 @@
         const bool harmless = cls.repeat == Repeat::safe || (r.out == 0 && r.ranMs == kNever) ||
                               (cls.repeat == Repeat::keyed && cls.group == RepeatGroup::all);
         // Soon enough to be in time still; where nobody answers, as late as a client will come.
-        const Node* n = nodeOf(fleet_.cells[r.cell]);
+        const Node* n = nodeOf(fleet_.touch(r.cell));
         const double backMs = n == nullptr || n->silentSinceMs > 0 ? set_.maxRetryAfterMs : kComeBackMs;
         if (harmless)
             actions_.push_back(Refuse{id, std::min(backMs, set_.maxRetryAfterMs)});
@@ -800,7 +799,7 @@
         if (!set_.mayCancel || held == requests_.end()) return;
         Request& r = held->second;
         const bool worth = !r.streaming && now_ + neededMs < r.told.expiresMs &&
-                           nodeOf(fleet_.cells[r.cell]) == &n && !r.givenUp;
+                           nodeOf(fleet_.touch(r.cell)) == &n && !r.givenUp;
         if (!worth || !mayRepeat(r, std::min(r.ranMs, f.sentMs)) || !budgetAllows()) return;
         r.givenUp = true;
         actions_.push_back(Cancel{id.first, id.second});
@@ -827,7 +826,7 @@
 
     void pumpAll() {
         for (const CellId cell : std::vector<CellId>(fleet_.active.begin(), fleet_.active.end())) {
-            Cell& c = fleet_.cells[cell];
+            Cell& c = fleet_.touch(cell);
             Node* n = nodeOf(c);
             if (n != nullptr) {
                 if (feltPressed(*n)) n->pressedMs += std::min(now_ - n->sweptMs, 2 * kSweepMs);
@@ -862,7 +861,7 @@
         const double lengthMs = std::max(now_ - roundStartMs_, 1.0);
         roundStartMs_ = std::floor(now_ / kRoundMs) * kRoundMs;
         for (const CellId cell : fleet_.live) {
-            Cell& c = fleet_.cells[cell];
+            Cell& c = fleet_.cells.at(cell);
             if (Node* n = nodeOf(c)) n->lastPressedMs = std::exchange(n->pressedMs, 0);
             if (c.sumMs < roundStartMs_ - kRoundMs) learnRate(c, c.own);  // nobody told a sum
             c.endRound();
@@ -903,7 +902,7 @@
         tellSumsMs_ = roundStartMs_ + kCollectMs;
         std::map<int, std::map<CellId, Bid>> bids;  // by auctioneer
         for (const CellId cell : fleet_.live) {
-            const Cell& c = fleet_.cells[cell];
+            const Cell& c = fleet_.cells.at(cell);
             if (c.own.reserved + c.own.weighed + c.own.served > 0) bids[auctioneer(cell)][cell] = c.own;
         }
         for (const auto& [host, own] : bids) tell(host, {false, roundAt(now_), own});
--- a/src/limedrum/fleet.h
+++ b/src/limedrum/fleet.h
@@ -20,11 +20,6 @@
     std::set<CellId> active;                    // cells with work held or out
     std::set<NodeId> gone;                      // nodes to be forgotten
 
-    Cell& cellOf(CellId id) {
-        Cell& c = cells[id];
-        c.id = id;
-        return c;
-    }
     /// The cells with holders, by their numbers.
     std::vector<Cell*> inOrder() const {
         std::vector<Cell*> out = open;
@@ -37,7 +32,8 @@
         std::sort(out.begin(), out.end(), [](const Node* a, const Node* b) { return a->id < b->id; });
         return out;
     }
-    /// From now on rounds look at the cell, until it rests.
+    /// The cell, made where it is not there. From now on rounds look at it, until it rests: whatever asks for
+    /// a cell comes through here, so that none is left behind. (A holder's own goes when its holder goes.)
     Cell& touch(CellId id) {
         Cell& c = cellOf(id);
         if (!c.live) live.insert(id);
@@ -118,6 +114,12 @@
     }
 
 private:
+    Cell& cellOf(CellId id) {
+        Cell& c = cells[id];
+        c.id = id;
+        return c;
+    }
+
     void hold(Node& n) {
         n.held = true;
         Cell& c = cellOf(n.cell);
--- a/tests/limedrum/spread_test.cpp
+++ b/tests/limedrum/spread_test.cpp
@@ -321,3 +321,29 @@
     for (const Action& a : d.all)
         if (const auto* send = std::get_if<Send>(&a)) CHECK(send->node == 737);
 }
+
+// Guards against an entry left for good by what ends only after its node has gone: an answer, or a deadline.
+TEST_CASE("a request that outlives its node leaves nothing behind") {
+    Settings set = plainSettings();
+    set.mayCancel = false;
+    set.classes[0].deadlineMs = 30'000;
+    Driver d(set);
+    d.pass(6000, 10);
+    const std::size_t before = d.tableSize();
+    RequestEvent lost = request("lost", d.nowMs + 30'000, 0);
+    d.give(d.nowMs + 1, lost);
+    REQUIRE(d.sends("lost") == 1);
+    // What was sent well after it is answered: its attempt is held for lost and keeps its node no more.
+    for (int i = 0; i < 20; ++i) {
+        const RequestId id = "later" + std::to_string(i);
+        d.give(d.nowMs + 50, request(id, d.nowMs + 1000, 0));
+        d.outcome(d.nowMs, id, 0, 100, Outcome::done, 5);
+    }
+    d.pass(d.nowMs + 1000);
+    d.give(d.nowMs + 1, ListEvent{ListKind::update, {{.node = 100, .cell = 0, .state = NodeState::gone}}});
+    d.pass(d.nowMs + 10'000, 10);
+    SUBCASE("its deadline") { d.pass(d.nowMs + 20'000, 10); }
+    d.outcome(d.nowMs + 1, "lost", 0, 100, Outcome::timedOut);
+    d.pass(d.nowMs + 80'000, 10);
+    CHECK(d.tableSize() == before - 2);  // without the node and its cell
+}
