Spread list calls by the number of schedulers, so that failed ones do not fill discovery

Cause: Discovery::again() and take() rested a fixed 100 ms (watchAgainMs); calls that wait for a place until they fail keep the queue full. Change: Backoff, a decider of its own: rests double to four times, drawn from half to one and a half times their mean. The first mean is 50 ms for each scheduler, and first calls and those after SIGHUP are spread over it, as a mass start is the same herd. With few hosts little changes.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -62,8 +62,8 @@
 #endif
         if (watch && !config_.discovery) throw ConfigError("discovery: missing");
         if (watch)
-            discovery_.emplace(base_.get(), *config_.discovery, config_.known.version, config_.limits,
-                               counters_, log_, told);
+            discovery_.emplace(base_.get(), *config_.discovery, config_.known.version, config_.seed,
+                               config_.limits, counters_, log_, told);
 #ifdef MARTENCOVE_XDS
         if (extras.xds)
             xds_.emplace(base_.get(), *extras.xds, config_.limits, counters_,
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -8,8 +8,9 @@
 
 namespace martencove {
 
-Discovery::Discovery(event_base* base, Address address, std::int64_t version, const Limits& limits,
-                     Counters& counters, Log& log, std::function<void(const NodeList&)> told)
+Discovery::Discovery(event_base* base, Address address, std::int64_t version, std::uint64_t seed,
+                     const Limits& limits, Counters& counters, Log& log,
+                     std::function<void(const NodeList&)> told)
     : base_(base),
       address_(std::move(address)),
       version_(version),
@@ -17,13 +18,14 @@
       counters_(counters),
       log_(log),
       told_(std::move(told)),
+      rest_(limits.watchAgainMs, limits.watchAgainMostMs, seed),
       next_(base, [this] { call(); }),
       silence_(base, [this] {
           counters_.add("discovery_silent");
           log_.warn("discovery", "silent, calling again");
           again();
       }) {
-    next_.start(0);
+    next_.start(rest_.firstMs());
 }
 
 void Discovery::moveTo(Address address) {
@@ -32,7 +34,7 @@
     wantsWhole_ = true;
     silence_.stop();
     connection_.reset();  // and with it the call that waits there
-    next_.start(0);
+    next_.start(rest_.firstMs());
 }
 
 void Discovery::call() {
@@ -75,6 +77,7 @@
     try {
         const NodeList list = decodeNodeList(text);
         counters_.add("discovery_list");
+        rest_.reset();
         if (list.whole) wantsWhole_ = false;
         if (list.version < version_ && !list.whole) return;
         version_ = list.version;
@@ -82,7 +85,7 @@
     } catch (const limedrum::fields::FieldError& error) {
         counters_.add("discovery_bad");
         log_.warn("discovery", "list ignored", {{"reason", error.what()}});
-        next_.start(limits_.watchAgainMs);
+        next_.start(rest_.nextMs());
     }
 }
 
@@ -93,7 +96,7 @@
         base_, -1, EV_TIMEOUT,
         [](evutil_socket_t, short, void* c) { evhttp_connection_free(static_cast<evhttp_connection*>(c)); },
         connection_.release(), nullptr);
-    next_.start(limits_.watchAgainMs);
+    next_.start(rest_.nextMs());
 }
 
 }  // namespace martencove
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -3,6 +3,7 @@
 
 #include <functional>
 
+#include "core/backoff.h"
 #include "core/counters.h"
 #include "core/limits.h"
 #include "core/values.h"
@@ -14,8 +15,9 @@
 
 class Discovery {
 public:
-    Discovery(event_base* base, Address address, std::int64_t version, const Limits& limits,
-              Counters& counters, Log& log, std::function<void(const NodeList&)> told);
+    /// The first call comes at once or, where many schedulers may start together, a drawn while later.
+    Discovery(event_base* base, Address address, std::int64_t version, std::uint64_t seed,
+              const Limits& limits, Counters& counters, Log& log, std::function<void(const NodeList&)> told);
     Discovery(const Discovery&) = delete;
     Discovery& operator=(const Discovery&) = delete;
 
@@ -26,7 +28,7 @@
     static void answered(evhttp_request* request, void* self);
     void call();
     void take(const std::string& text);
-    /// A call that failed or fell silent: a new connection, after a short rest.
+    /// A call that failed or fell silent: a new connection, after a rest.
     void again();
 
     event_base* base_;
@@ -38,6 +40,7 @@
     Log& log_;
     std::function<void(const NodeList&)> told_;
     Owned<evhttp_connection> connection_;
+    Backoff rest_;  // between failed calls
     Timer next_;
     Timer silence_;
 };
--- /dev/null
+++ b/tests/core/backoff_test.cpp
@@ -0,0 +1,70 @@
+// Many callers of one service that has room for few of them, under one clock.
+#include "core/backoff.h"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <vector>
+
+using martencove::Backoff;
+
+namespace {
+
+constexpr int kCallers = 100;
+constexpr std::uint64_t kSeed = 20261201;
+
+/// Serves 20 calls a second in turn of arrival. A call fails when it has waited for 2 s, and at once where 40
+/// wait. `rest` gives a caller's rest before its n-th call, in ms. How many callers have been served by
+/// `untilMs`.
+int served(const std::function<double(int caller, int call)>& rest, double untilMs) {
+    std::multimap<double, int> coming;
+    std::vector<int> calls(kCallers, 0);
+    std::deque<std::pair<double, int>> waiting;
+    int done = 0;
+    const auto later = [&](double nowMs, int caller) {
+        coming.emplace(nowMs + rest(caller, calls[caller]++), caller);
+    };
+    for (int caller = 0; caller < kCallers; ++caller) later(0, caller);
+    for (double nowMs = 0; nowMs < untilMs; nowMs += 1) {
+        while (!coming.empty() && coming.begin()->first <= nowMs) {
+            const int caller = coming.begin()->second;
+            coming.erase(coming.begin());
+            waiting.size() < 60 ? void(waiting.emplace_back(nowMs, caller)) : later(nowMs, caller);
+        }
+        // Work on a call that fails meanwhile is lost: that is what keeps an overbooked service overbooked.
+        if (static_cast<int>(nowMs) % 50 != 0 || waiting.empty()) continue;
+        const auto [sinceMs, caller] = waiting.front();
+        waiting.pop_front();
+        nowMs - sinceMs < 2000 ? void(++done) : later(nowMs, caller);
+    }
+    return done;
+}
+
+}  // namespace
+
+TEST_CASE("callers who start together at a service with room for few are all served soon") {
+    MESSAGE("seed " << kSeed);
+    std::vector<Backoff> backoffs;
+    for (int caller = 0; caller < kCallers; ++caller) backoffs.emplace_back(5000, 20000, kSeed + caller);
+    const auto spread = [&](int caller, int call) {
+        return call == 0 ? backoffs[caller].firstMs() : backoffs[caller].nextMs();
+    };
+    const auto inStep = [](int, int call) { return call == 0 ? 0.0 : 100.0; };
+    CHECK(served(spread, 10000) >= 95);
+    CHECK(served(inStep, 10000) < 60);  // the cause: the queue stays full of calls that will fail
+}
+
+TEST_CASE("rests double up to their bound, never in step, and start anew after a success") {
+    Backoff one(100, 400, kSeed), other(100, 400, kSeed + 1);
+    for (const double meanMs : {100.0, 200.0, 400.0, 400.0}) {
+        const double restMs = one.nextMs();
+        CHECK(restMs >= meanMs / 2);
+        CHECK(restMs < meanMs * 3 / 2);
+        CHECK(restMs != other.nextMs());
+    }
+    one.reset();
+    CHECK(one.nextMs() < 150);
+    for (int i = 0; i < 20; ++i) CHECK(one.firstMs() < 100);
+}
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "core/clock.h"
 #include "world.h"
 
 using namespace martencove::test;
@@ -237,6 +238,27 @@
     CHECK(t.world.log.find("end: exits open=0") != std::string::npos);
 }
 
+// Guards against a fleet whose failed calls come back in step: the rest counts all schedulers, and it grows.
+TEST_CASE(
+    "a discovery that has no room is asked again after rests that grow with the fleet and with failures") {
+    World world;
+    std::vector<double> callsMs;
+    const martencove::Clock clock;
+    Listener full(world.base.get(), [&](Wire& wire) {
+        if (!takeHttp(wire.got)) return;
+        callsMs.push_back(clock.nowMs());
+        wire.send(httpReply(503, ""));
+    });
+    world.config["discovery"] = full.address.text();
+    world.config["settings"]["Siblings"] =
+        10;  // 50 ms for each: 500 ms in the mean, then 1000, at least half
+    world.start();
+    REQUIRE(world.until([&] { return callsMs.size() == 3; }));
+    CHECK(callsMs[1] - callsMs[0] >= 249);
+    CHECK(callsMs[2] - callsMs[1] >= 499);
+    CHECK(world.end() == 0);
+}
+
 // Guards against an end by SIGHUP, a watch that stays at the old address, and requests lost on the way.
 TEST_CASE("SIGHUP: discovery moves, an unreadable file leaves all as it was, what was taken is served") {
     Wire* held = nullptr;
