Refuse at once what both keepers of a shared budget denied, instead of asking until its aim

Cause: covered() let every held request ask both keepers again each 50 ms until its aim (Share::denied, now - kValidMs / 2), so asks grow with the queue. What fills meanwhile went to the one due first, which then came too late. Change: a request that each of its keepers was asked for in vain is given up there and then.

--- a/src/limedrum/decide.cpp
+++ b/src/limedrum/decide.cpp
@@ -434,11 +434,11 @@
     //
     // A quarter of a budget is split evenly; a host uses its part without a word. The rest lies with two
     // keepers, half each, known to all from the budget's number; they deal it on asking, and what they deal
-    // is void soon after. The total is safe whoever crashes, restarts or loses messages: one host alone
-    // counts each part. A store's part is empty at its host's start; a window's part is void for a window
-    // from then, unless the node started later still. Only budget is ever lost. It hurts while a keeper is
-    // dead (its half), and what is beyond the even part waits for two messages. (An even split alone is under
-    // one request at size.)
+    // is void soon after. What both deny is given up at once. The total is safe whoever crashes, restarts or
+    // loses messages: one host alone counts each part. A store's part is empty at its host's start; a
+    // window's part is void for a window from then, unless the node started later still. Only budget is ever
+    // lost. It hurts while a keeper is dead (its half), and what is beyond the even part waits for two
+    // messages. (An even split alone is under one request at size.)
     bool covered(Request& r, BudgetId id, const std::optional<Budget>& b, int hosts, double figure) {
         if (!b) return true;
         Share& s = shares_[id];
@@ -450,7 +450,8 @@
         r.shortOf = id;
         const bool waits =
             r.asks > 0 && now_ - r.askedMs < kValidMs && s.deniedMs[r.asks % kKeepers] < r.askedMs;
-        if (!set_.mayTellPeers || waits || s.denied(kKeepers, now_ - kValidMs / 2)) return false;
+        r.denied = !waits && r.asks >= kKeepers;
+        if (!set_.mayTellPeers || waits || r.denied) return false;
         r.askedMs = now_;
         const int half = ++r.asks % kKeepers;
         pass(keeper(id, half), {BudgetMessage::ask, id, half, figure, r.told.units, now_});
@@ -598,13 +599,12 @@
             if (r.out > 0) continue;
             // The other holders take what one that is silent, or cold beyond its budget, cannot.
             const bool away = waits || (r.shortOf && r.shortOf->first == 'n' &&
-                                        (shares_[*r.shortOf].denied(kKeepers, now_ - kValidMs / 2) ||
-                                         now_ - r.takenMs > kSpillAimPart * aimMs_));
+                                        (r.denied || now_ - r.takenMs > kSpillAimPart * aimMs_));
             if (const CellId to = away ? route(r, &n, !waits) : r.cell; to != r.cell) {
                 moved.emplace_back(id, to);
                 continue;
             }
-            if (r.shortOf && now_ >= due) {
+            if (r.shortOf && (r.denied || now_ >= due)) {
                 dropped.emplace_back(id, r.shortOf->first == 'v' ? overLimit : coldNode);
                 continue;
             }
--- a/src/limedrum/state.h
+++ b/src/limedrum/state.h
@@ -91,12 +91,6 @@
     Window dealt;                    // by the keepers, by when it was asked for
     std::map<int, double> deniedMs;  // by each of them, last
 
-    /// Whether each of the keepers said no after that time.
-    bool denied(int keepers, double sinceMs) const {
-        int said = 0;
-        for (const auto& [keeper, ms] : deniedMs) said += keeper < keepers && ms > sinceMs;
-        return said >= keepers;
-    }
     bool idle(double beforeMs) {
         dealt.trim(beforeMs);
         return own.idle(beforeMs) && dealt.entries.empty();
@@ -135,6 +129,7 @@
     std::optional<BudgetId> shortOf;  // the shared budget that does not cover it
     int asks = 0;
     double askedMs = 0;
+    bool denied = false;  // each of its keepers was asked in vain
 };
 struct Flight {
     NodeId node = 0;
