--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -57,7 +57,7 @@
 #ifdef MARTENCOVE_ETCD
         if (extras.etcd) {
             watch = false;
-            etcd_.emplace(base_.get(), *extras.etcd, config_.limits, counters_, log_, told);
+            etcd_.emplace(base_.get(), *extras.etcd, config_.seed, config_.limits, counters_, log_, told);
         }
 #endif
         if (watch && !config_.discovery) throw ConfigError("discovery: missing");
--- a/src/etcd/source.cpp
+++ b/src/etcd/source.cpp
@@ -8,19 +8,20 @@
 
 using limedrum::fields::FieldError;
 
-Source::Source(event_base* base, EtcdConfig config, const Limits& limits, Counters& counters, Log& log,
-               std::function<void(const NodeList&)> told)
+Source::Source(event_base* base, EtcdConfig config, std::uint64_t seed, const Limits& limits,
+               Counters& counters, Log& log, std::function<void(const NodeList&)> told)
     : base_(base),
       config_(std::move(config)),
       limits_(limits),
       counters_(counters),
       log_(log),
       told_(std::move(told)),
+      rest_(limits.watchAgainMs, limits.watchAgainMostMs, seed),
       next_(base, [this] { call(); }),
       // A watch says nothing for as long as nothing changes, and so does a dead machine: it is asked for anew
       // now and then, from the next revision on, which loses nothing.
       quiet_(base, [this] { again(0); }) {
-    next_.start(0);
+    next_.start(rest_.firstMs());
 }
 
 void Source::call() {
@@ -44,7 +45,7 @@
     quiet_.start(whole ? limits_.watchGraceMs : limits_.etcdQuietMs);
     if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_POST,
                             whole ? "/v3/kv/range" : "/v3/watch") != 0)
-        again(limits_.watchAgainMs);
+        again(rest_.nextMs());
 }
 
 void Source::piece(evhttp_request* request, void* arg) {
@@ -66,7 +67,7 @@
         self->counters_.add("etcd_failed");
         self->log_.warn("etcd", "call failed");
     }
-    self->again(self->limits_.watchAgainMs);
+    self->again(self->rest_.nextMs());
 }
 
 void Source::takeRange() {
@@ -88,6 +89,7 @@
                 revision_ = 0;
                 return again(0);
             }
+            rest_.reset();
             quiet_.start(limits_.etcdQuietMs);
             if (!update.pairs.empty()) tell(update, false);
         }
@@ -112,6 +114,7 @@
     }
     nodes_ = std::move(nodes);
     revision_ = update.revision;
+    rest_.reset();
     counters_.add("etcd_update");
     told_(list);
 }
--- a/src/etcd/source.h
+++ b/src/etcd/source.h
@@ -6,6 +6,7 @@
 #include <map>
 
 #include "config/operator.h"
+#include "core/backoff.h"
 #include "core/counters.h"
 #include "core/limits.h"
 #include "core/values.h"
@@ -17,8 +18,8 @@
 
 class Source {
 public:
-    Source(event_base* base, EtcdConfig config, const Limits& limits, Counters& counters, Log& log,
-           std::function<void(const NodeList&)> told);
+    Source(event_base* base, EtcdConfig config, std::uint64_t seed, const Limits& limits, Counters& counters,
+           Log& log, std::function<void(const NodeList&)> told);
     Source(const Source&) = delete;
     Source& operator=(const Source&) = delete;
 
@@ -44,6 +45,7 @@
     std::int64_t revision_ = 0;               // of the last change told; 0: the whole list is needed
     bool watching_ = false;                   // the present call is a watch
     std::string pending_;                     // of the present call's answer
+    Backoff rest_;                            // between failed calls
     Timer next_;
     Timer quiet_;
 };
