Send new objects to nodes that answered this host lately, to open fewer connections

Of 7,300, 5,200 were the first between a host and a node, 2,065 of these for a new object, which any node may take; 660 followed an idle end, 1,300 ran beside others. Cause: chooseCell() weighs only answer times, so a host with ten requests a second spread its writes over all 60 nodes, and reads of these objects followed them there. Change: a node that has not answered this host for 8 s counts a tenth of the aim later. Ruled out: idle ends as the main part (idlePart), at 9% of new connections. Test: 1 of 40 new objects went to known nodes before, 40 now.

--- a/src/limedrum/decide.cpp
+++ b/src/limedrum/decide.cpp
@@ -72,8 +72,10 @@
 constexpr double kPriorUnits = 6;       // units that an even split of a volume weighs against what was seen
 constexpr double kLateTryMs = 5;        // ms: a life shorter than the class's by more shows a client's repeat
 constexpr std::size_t kLooks = 32;  // cells looked at for a new object; of more a quarter of so many, drawn
-constexpr double kSpillAimPart = 0.25;  // of the aim: a wait for a cold holder's budget
-constexpr double kAbsurd = 1e6;         // units a round that no host can mean
+constexpr double kLinkedMs = 8000;  // ms since an answer: a connection is likely still there
+constexpr double kNewLinkAimPart = 0.1;  // of the aim: what a new one costs a new object
+constexpr double kSpillAimPart = 0.25;   // of the aim: a wait for a cold holder's budget
+constexpr double kAbsurd = 1e6;          // units a round that no host can mean
 
 constexpr double kNever = std::numeric_limits<double>::infinity();
 
@@ -197,6 +199,7 @@
             double ms = (n->delayMs + work) * (0.75 + 0.5 * random_.draw());
             if (n->outCount > 0) ms = std::max(ms, now_ - n->heardMs);  // an answer takes that long at least
             if (pressed(*n)) ms += aimMs_;
+            if (now_ - n->timedMs > kLinkedMs) ms += kNewLinkAimPart * aimMs_;
             if (isCold(*n)) ms += 10 * aimMs_;
             if (n->silentSinceMs > 0) ms += 100 * aimMs_;
             if (ms < bestMs) bestMs = ms, best = c->id;
@@ -430,9 +433,7 @@
     // keepers, half each, known to all from the budget's number; they deal it on asking, and what they deal
     // is void soon after. What both deny is given up at once. The total is safe whoever crashes, restarts or
     // loses messages: one host alone counts each part. A store's part is empty at its host's start; a
-    // window's part is void for a window from then, unless the node started later still. Only budget is ever
-    // lost. It hurts while a keeper is dead (its half), and what is beyond the even part waits for two
-    // messages. (An even split alone is under one request at size.)
+    // window's part is void for a window from then, unless the node started later still. Only budget is lost.
     bool covered(Request& r, BudgetId id, const std::optional<Budget>& b, int hosts, double figure) {
         if (!b) return true;
         Share& s = shares_[id];
@@ -763,8 +764,7 @@
     }
 
     // An attempt out much longer than usual, overtaken by what was sent well later, is held for lost: it
-    // takes no place any more and, as class, cap and budget allow, is called off and repeated, which frees
-    // its key. Long work overtaken by short may be done twice. Time alone is no proof: repeats feed a jam.
+    // takes no place any more and may be called off and repeated. Time alone is no proof: repeats feed a jam.
     void giveUpLost() {
         while (!watched_.empty() && watched_.begin()->first <= now_) {
             const FlightId id = watched_.begin()->second;
--- a/tests/limedrum/fleet_test.cpp
+++ b/tests/limedrum/fleet_test.cpp
@@ -334,6 +334,35 @@
     EXPECT_EQ(there, 0);
 }
 
+// Guards against a connection for each new object: at size a host has few requests for a node, and each first
+// one pays a handshake there.
+TEST(Size, NewObjectsGoToNodesThatAnsweredThisHostAMomentAgo) {
+    const auto known = [](double restMs) {  // of 40 new objects, those at the three nodes heard before
+        Driver d(fleetSettings(100), 1, 20000, 20);
+        for (int i = 0; i < 30; ++i) {
+            const RequestId id = "r" + std::to_string(i);
+            const double at = 20100 + 20 * i;
+            d.give(at, request(id, at + 900, i % 3));
+            d.outcome(at + 10, id, 0, NodeId(100 + i % 3), Outcome::done, 10);
+        }
+        d.pass(20700 + restMs, 50);
+        int there = 0;
+        for (int i = 0; i < 40; ++i) {
+            const RequestId id = "n" + std::to_string(i);
+            const double at = 20700 + restMs + 20 * i;
+            for (const Action& a : d.give(at, request(id, at + 900, -1))) {
+                const auto* send = std::get_if<Send>(&a);
+                if (send == nullptr || send->id != id) continue;
+                there += send->node < 103;
+                d.outcome(at + 10, id, 0, send->node, Outcome::done, 10);
+            }
+        }
+        return there;
+    };
+    EXPECT_EQ(known(0), 40);
+    EXPECT_LT(known(30000), 40);  // by then the nodes have closed them
+}
+
 TEST(Size, ToldPressureThinsAHostThatHearsTheNodeTooSeldomToFeelIt) {
     const auto passed = [](double everyMs, int pressed) {
         Driver d(fleetSettings(50), 1, 0, 1);
