--- a/src/etcd/source.cpp
+++ b/src/etcd/source.cpp
@@ -73,6 +73,7 @@
 void Source::takeRange() {
     try {
         tell(decodeRange(pending_), true);
+        rest_.reset();
         again(0);
     } catch (const FieldError& error) {
         ignore(error.what());
@@ -114,7 +115,6 @@
     }
     nodes_ = std::move(nodes);
     revision_ = update.revision;
-    rest_.reset();
     counters_.add("etcd_update");
     told_(list);
 }
--- a/tests/core/backoff_test.cpp
+++ b/tests/core/backoff_test.cpp
@@ -15,7 +15,7 @@
 constexpr int kCallers = 100;
 constexpr std::uint64_t kSeed = 20261201;
 
-/// Serves 20 calls a second in turn of arrival. A call fails when it has waited for 2 s, and at once where 40
+/// Serves 20 calls a second in turn of arrival. A call fails when it has waited for 2 s, and at once where 60
 /// wait. `rest` gives a caller's rest before its n-th call, in ms. How many callers have been served by
 /// `untilMs`.
 int served(const std::function<double(int caller, int call)>& rest, double untilMs) {
--- a/tests/limedrum/fleet_test.cpp
+++ b/tests/limedrum/fleet_test.cpp
@@ -310,6 +310,23 @@
     EXPECT_EQ(sumsFor(200), kHosts - 1);
 }
 
+/// Writes so many new objects, one each `everyMs`, each answered after `tookMs`; how many went to nodes with
+/// lower numbers than `node`.
+int newObjectsBelow(Driver& d, NodeId node, double fromMs, int count, double everyMs, double tookMs) {
+    int below = 0;
+    for (int i = 0; i < count; ++i) {
+        const RequestId id = "n" + std::to_string(i);
+        const double at = fromMs + everyMs * i;
+        for (const Action& a : d.give(at, request(id, at + 900, -1))) {
+            const auto* send = std::get_if<Send>(&a);
+            if (send == nullptr || send->id != id) continue;
+            below += send->node < node;
+            d.outcome(at + tookMs, id, 0, send->node, Outcome::done, tookMs);
+        }
+    }
+    return below;
+}
+
 // Guards against new objects that go to the node whose answer is still owed: what is not answered has no
 // delay yet.
 TEST(Size, ANewObjectGoesToANodeThatOwesNoLateAnswer) {
@@ -321,17 +338,7 @@
     }
     d.give(1000, request("late", 9000, 0));
     d.pass(1900, 10);
-    int there = 0;
-    for (int i = 0; i < 10; ++i) {
-        const RequestId id = "n" + std::to_string(i);
-        for (const Action& a : d.give(1900 + 5 * i, request(id, 2900, -1))) {
-            const auto* send = std::get_if<Send>(&a);
-            if (send == nullptr || send->id != id) continue;
-            there += send->node == 100;
-            d.outcome(1902 + 5 * i, id, 0, send->node, Outcome::done, 2);
-        }
-    }
-    EXPECT_EQ(there, 0);
+    EXPECT_EQ(newObjectsBelow(d, 101, 1900, 10, 5, 2), 0);
 }
 
 // Guards against a connection for each new object: at size a host has few requests for a node, and each first
@@ -346,18 +353,7 @@
             d.outcome(at + 10, id, 0, NodeId(100 + i % 3), Outcome::done, 10);
         }
         d.pass(20700 + restMs, 50);
-        int there = 0;
-        for (int i = 0; i < 40; ++i) {
-            const RequestId id = "n" + std::to_string(i);
-            const double at = 20700 + restMs + 20 * i;
-            for (const Action& a : d.give(at, request(id, at + 900, -1))) {
-                const auto* send = std::get_if<Send>(&a);
-                if (send == nullptr || send->id != id) continue;
-                there += send->node < 103;
-                d.outcome(at + 10, id, 0, send->node, Outcome::done, 10);
-            }
-        }
-        return there;
+        return newObjectsBelow(d, 103, 20700 + restMs, 40, 20, 10);
     };
     EXPECT_EQ(known(0), 40);
     EXPECT_LT(known(30000), 40);  // by then the nodes have closed them
