Call for the list at once where an agent on the machine holds it

Cause: Discovery's first call waited rest_.firstMs(), up to watchEachMs (50 ms) for each scheduler, 15 s with 300 (config.cpp, decode; discovery.cpp, constructor and moveTo). Change: callRests() decides by what the settings say: pushed calls come at once and again after 0.1 to 0.4 s; asked for ones are spread as before, the first within half of MustAskInMs, the longest rest within four of them. Etcd is unchanged. The test on rests after failures now names the mode that it is about.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -87,8 +87,12 @@
     limits.notTakenBackMs = out.site.module.maxRetryAfterMs;
     limits.dialMs = out.site.dialMs;
     limits.nodeIdleMs = out.site.nodeIdleMs;
-    limits.watchAgainMs = std::max(limits.watchAgainMs, limits.watchEachMs * out.site.module.hosts);
-    limits.watchAgainMostMs = 4 * limits.watchAgainMs;
+    const limedrum::Settings& module = out.site.module;
+    const auto rests = [&](bool onRequest, double mustAskInMs) {
+        return callRests(onRequest, module.hosts, mustAskInMs, limits.watchAgainMs, limits.watchEachMs);
+    };
+    limits.list = rests(module.listOnRequest, module.rules.mustAskInMs);
+    limits.etcd = rests(true, 0);
     double longestMs = 0;
     for (const auto& c : out.site.module.classes) longestMs = std::max(longestMs, c.deadlineMs);
     limits.drainMostMs = std::max(longestMs, 3000.0) + 550;
--- a/src/core/backoff.h
+++ b/src/core/backoff.h
@@ -8,6 +8,34 @@
 
 namespace martencove {
 
+/// Mean rests around calls for the list of nodes, in ms: at most before the first, after one failure, after
+/// several.
+struct CallRests {
+    double firstMs = 0;
+    double leastMs = 0;
+    double mostMs = 0;
+};
+
+/// `agentMs`: the mean rest where the list is pushed to an agent on the caller's own machine. That one has
+/// room for every call, and what it holds counts as told whether or not it was called: nothing is gained by
+/// waiting. Where the list is one service for all hosts, `eachMs` for each of them, but the first call comes
+/// by half of the time in which it must be asked, and the longest rest (half as much again as its mean) ends
+/// within the four such times that a failed call gives.
+[[nodiscard]] inline CallRests callRests(bool onRequest, int hosts, double mustAskInMs, double agentMs,
+                                         double eachMs) {
+    if (!onRequest) return {0, agentMs, 4 * agentMs};
+    CallRests rests;
+    rests.leastMs = std::max(agentMs, eachMs * hosts);
+    rests.mostMs = 4 * rests.leastMs;
+    rests.firstMs = rests.leastMs;
+    if (mustAskInMs > 0) {
+        rests.firstMs = std::min(rests.firstMs, mustAskInMs / 2);
+        rests.mostMs = std::min(rests.mostMs, 2 * mustAskInMs);
+        rests.leastMs = std::min(rests.leastMs, rests.mostMs);
+    }
+    return rests;
+}
+
 /// Rests that double from one failure to the next and are drawn from half to one and a half times their mean,
 /// so that callers who failed together, as at a server with too little room for all, neither come back
 /// together nor keep it full for good.
@@ -17,8 +45,10 @@
     Backoff(double leastMs, double mostMs, std::uint64_t seed)
         : leastMs_(leastMs), mostMs_(std::max(leastMs, mostMs)), meanMs_(leastMs), random_(seed) {}
 
-    /// Before the first call of all, in ms: callers who start together are spread over the first mean rest.
-    [[nodiscard]] double firstMs() { return leastMs_ * std::uniform_real_distribution<double>()(random_); }
+    /// Before the first call of all, in ms: callers who start together are spread over `overMs`.
+    [[nodiscard]] double firstMs(double overMs) {
+        return overMs * std::uniform_real_distribution<double>()(random_);
+    }
     /// The rest after one more failure, in ms.
     [[nodiscard]] double nextMs() {
         const double restMs = meanMs_ * std::uniform_real_distribution<double>(0.5, 1.5)(random_);
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -3,6 +3,8 @@
 
 #include <cstddef>
 
+#include "core/backoff.h"
+
 namespace martencove {
 
 struct Limits {
@@ -48,20 +50,21 @@
     double watchGraceMs = 2000;    // and how much later it counts as silent
     // Discovery has room for so many calls and no more: where all schedulers' calls failed together and came
     // back 100 ms later, hardly any was ever served.
-    double watchEachMs = 50;        // between two schedulers' calls: their number times this is
-    double watchAgainMs = 100;      // the mean rest after a failed call, at least so long
-    double watchAgainMostMs = 400;  // and the longest mean, after several: four times that
-    double fileRestMs = 20;         // a file that is written to: read once it rests for so long
-    double fileRestMostMs = 200;    // or has been written to for so long
-    double fileSettleMs = 1000;     // content that is not whole: told of after so long
-    double swapSliceMs = 0.5;       // of the loop's time for a swap of nodes, at once
-    double drainAcceptMs = 450;     // after SIGTERM: new connections are still taken
-    double drainQuietMs = 300;      // and after the listener's close: what is on its way still comes
-    double drainMostMs = 4600;      // and the longest that the end may take
-    double etcdQuietMs = 30000;     // a watch that says nothing for so long is asked for anew
-    double etcdBadMs = 1000;        // rest after an answer that cannot be read
-    double xdsLookMs = 500;         // between looks at what proxies should be told
-    double notTakenBackMs = 0;  // what a request beyond the bounds is advised to wait; 0: no advice allowed
+    double watchEachMs = 50;      // between two schedulers' calls: their number times this is
+    double watchAgainMs = 100;    // the mean rest after a failed call, at least so long
+    CallRests list{0, 100, 400};  // of calls to discovery
+    CallRests etcd{100, 100, 400};
+    double fileRestMs = 20;       // a file that is written to: read once it rests for so long
+    double fileRestMostMs = 200;  // or has been written to for so long
+    double fileSettleMs = 1000;   // content that is not whole: told of after so long
+    double swapSliceMs = 0.5;     // of the loop's time for a swap of nodes, at once
+    double drainAcceptMs = 450;   // after SIGTERM: new connections are still taken
+    double drainQuietMs = 300;    // and after the listener's close: what is on its way still comes
+    double drainMostMs = 4600;    // and the longest that the end may take
+    double etcdQuietMs = 30000;   // a watch that says nothing for so long is asked for anew
+    double etcdBadMs = 1000;      // rest after an answer that cannot be read
+    double xdsLookMs = 500;       // between looks at what proxies should be told
+    double notTakenBackMs = 0;    // what a request beyond the bounds is advised to wait; 0: no advice allowed
     double nbdHandshakeMs = 5000;
     double sweepMs = 250;  // between looks at idle connections
 };
--- a/src/etcd/source.cpp
+++ b/src/etcd/source.cpp
@@ -16,12 +16,12 @@
       counters_(counters),
       log_(log),
       told_(std::move(told)),
-      rest_(limits.watchAgainMs, limits.watchAgainMostMs, seed),
+      rest_(limits.etcd.leastMs, limits.etcd.mostMs, seed),
       next_(base, [this] { call(); }),
       // A watch says nothing for as long as nothing changes, and so does a dead machine: it is asked for anew
       // now and then, from the next revision on, which loses nothing.
       quiet_(base, [this] { again(0); }) {
-    next_.start(rest_.firstMs());
+    next_.start(rest_.firstMs(limits.etcd.firstMs));
 }
 
 void Source::call() {
--- a/src/net/discovery.cpp
+++ b/src/net/discovery.cpp
@@ -18,14 +18,14 @@
       counters_(counters),
       log_(log),
       told_(std::move(told)),
-      rest_(limits.watchAgainMs, limits.watchAgainMostMs, seed),
+      rest_(limits.list.leastMs, limits.list.mostMs, seed),
       next_(base, [this] { call(); }),
       silence_(base, [this] {
           counters_.add("discovery_silent");
           log_.warn("discovery", "silent, calling again");
           again();
       }) {
-    next_.start(rest_.firstMs());
+    next_.start(rest_.firstMs(limits_.list.firstMs));
 }
 
 void Discovery::moveTo(Address address) {
@@ -34,7 +34,7 @@
     wantsWhole_ = true;
     silence_.stop();
     connection_.reset();  // and with it the call that waits there
-    next_.start(rest_.firstMs());
+    next_.start(rest_.firstMs(limits_.list.firstMs));
 }
 
 void Discovery::call() {
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -250,6 +250,7 @@
         wire.send(httpReply(503, ""));
     });
     world.config["discovery"] = full.address.text();
+    world.config["settings"]["Discovery"] = "on_request";
     world.config["settings"]["Siblings"] =
         10;  // 50 ms for each: 500 ms in the mean, then 1000, at least half
     world.start();
