Ask by one piece of code whether a client's connection rests, and mend a stale comment

Found on reading the change again: quiet() and closeIdle() spelled out the same condition, quiet() and closeSilent() the same look at what evhttp has let go of, and every reader of Client::coming allowed for none, which take() can rule out. Discovery's header told of the old first rest. A test wrapped the node's default answer in a function of its own. Behaviour and assertions are as they were.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -137,9 +137,12 @@
            evbuffer_get_length(bufferevent_get_output(socket)) > 0;
 }
 
-}  // namespace
-
-namespace {
+/// Whether evhttp has closed a connection whose buffers are still held here.
+bool letGo(bufferevent* buffers) {
+    bufferevent_event_cb onEvent = nullptr;
+    bufferevent_getcb(buffers, nullptr, nullptr, &onEvent, nullptr);
+    return onEvent == nullptr;
+}
 
 void cameIn(evbuffer*, const evbuffer_cb_info* info, void* begun) {
     if (info->n_added > 0) *static_cast<bool*>(begun) = true;
@@ -153,6 +156,8 @@
 
 HttpFront::Coming::~Coming() { evbuffer_remove_cb(bufferevent_get_input(buffers), cameIn, &begun); }
 
+bool HttpFront::Coming::rests() const { return !begun && !hasInput(buffers); }
+
 HttpFront::HttpFront(event_base* base, const Address& listen, Desk& desk, NodePool& pool,
                      const limedrum::Site& site, const Limits& limits, Log& log)
     : base_(base),
@@ -183,24 +188,16 @@
 }
 
 bool HttpFront::quiet() const {
-    const auto rests = [](const std::unique_ptr<Coming>& coming) {
-        return !coming || (!coming->begun && !hasInput(coming->buffers));
-    };
     return std::all_of(connections_.begin(), connections_.end(),
-                       [&](const auto& c) { return c.second.job == nullptr && rests(c.second.coming); }) &&
-           std::all_of(unheard_.begin(), unheard_.end(), [&](const auto& u) {
-               bufferevent_event_cb onEvent = nullptr;  // none: evhttp has closed it
-               bufferevent_getcb(u.first, nullptr, nullptr, &onEvent, nullptr);
-               return onEvent == nullptr || rests(u.second.coming);
-           });
+                       [](const auto& c) { return c.second.rests(); }) &&
+           std::all_of(unheard_.begin(), unheard_.end(),
+                       [](const auto& u) { return letGo(u.first) || u.second.coming->rests(); });
 }
 
 void HttpFront::closeIdle(std::size_t most, double idleMs) {
     std::vector<std::pair<double, evhttp_connection*>> idle;
     for (const auto& [connection, client] : connections_) {
-        const bool begun = client.coming && client.coming->begun;
-        if (client.job == nullptr && client.usedMs <= desk_.nowMs() - idleMs && !begun &&
-            !hasInput(evhttp_connection_get_bufferevent(connection)))
+        if (client.usedMs <= desk_.nowMs() - idleMs && client.rests())
             idle.emplace_back(client.usedMs, connection);
     }
     std::sort(idle.begin(), idle.end());
@@ -211,11 +208,7 @@
 void HttpFront::closeSilent(std::size_t most, double silentMs) {
     const double before = desk_.nowMs() - silentMs;
     std::vector<std::pair<double, bufferevent*>> silent;
-    std::erase_if(unheard_, [](const auto& e) {
-        bufferevent_event_cb onEvent = nullptr;
-        bufferevent_getcb(e.first, nullptr, nullptr, &onEvent, nullptr);
-        return onEvent == nullptr;  // evhttp has closed it
-    });
+    std::erase_if(unheard_, [](const auto& e) { return letGo(e.first); });
     for (const auto& [buffers, unheard] : unheard_) {
         if (unheard.sinceMs <= before) silent.emplace_back(unheard.sinceMs, buffers);
     }
@@ -294,13 +287,12 @@
     client->second.usedMs = desk_.nowMs();
     if (fresh) {
         evhttp_connection_set_closecb(connection, connectionClosed, this);
-        const auto unheard = unheard_.find(evhttp_connection_get_bufferevent(connection));
-        if (unheard != unheard_.end()) {
-            client->second.coming = std::move(unheard->second.coming);
-            unheard_.erase(unheard);
-        }
+        bufferevent* buffers = evhttp_connection_get_bufferevent(connection);
+        auto unheard = unheard_.extract(buffers);  // none if accepted() had no memory for buffers of its own
+        client->second.coming =
+            unheard ? std::move(unheard.mapped().coming) : std::make_unique<Coming>(buffers);
     }
-    if (client->second.coming) client->second.coming->begun = false;
+    client->second.coming->begun = false;
     std::string wrong;
     if (!framedWell(request, wrong)) return refuse(request, wrong);
     if (path == "/healthz" && ready_ && !ready_())
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -68,6 +68,8 @@
         ~Coming();
         Coming(const Coming&) = delete;
         Coming& operator=(const Coming&) = delete;
+        /// Nothing has come since, and what was to leave is written.
+        bool rests() const;
 
         bufferevent* buffers;
         bool begun = false;
@@ -76,6 +78,8 @@
         HttpJob* job = nullptr;  // the request in work
         double usedMs = 0;       // when the last one came
         std::unique_ptr<Coming> coming;
+
+        bool rests() const { return job == nullptr && coming->rests(); }
     };
     std::map<evhttp_connection*, Client> connections_;  // that have sent a request
     // Those that have not, since when. evhttp shows a connection only with its first request: a reference to
--- a/src/net/discovery.h
+++ b/src/net/discovery.h
@@ -15,7 +15,8 @@
 
 class Discovery {
 public:
-    /// The first call comes a drawn while later, as many schedulers may start together: up to the mean rest.
+    /// The first call comes a drawn while later, as many schedulers may start together: up to
+    /// `limits.list.firstMs`.
     Discovery(event_base* base, Address address, std::int64_t version, std::uint64_t seed,
               const Limits& limits, Counters& counters, Log& log, std::function<void(const NodeList&)> told);
     Discovery(const Discovery&) = delete;
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -247,7 +247,7 @@
 
 // Guards against a request lost whose headers had been read: evhttp has them, and the connection looks idle.
 TEST_CASE("SIGTERM: a request whose headers have come on a kept connection is still taken and answered") {
-    OneNode t([](Wire& wire, const HttpText& request) { serve(wire, request); });
+    OneNode t;
     Wire& client = t.world.connect();
     std::optional<HttpText> answer;
     client.send(t.world.request("0000000000000001"));
--- a/tests/program/world.cpp
+++ b/tests/program/world.cpp
@@ -96,6 +96,10 @@
     : socket_(bufferevent_socket_new(base, fd, BEV_OPT_CLOSE_ON_FREE)) {
     watch();
 }
+void Wire::read(bool on) {
+    on ? bufferevent_enable(socket_.get(), EV_READ) : bufferevent_disable(socket_.get(), EV_READ);
+}
+
 void Wire::watch() {
     bufferevent_setcb(
         socket_.get(),
@@ -302,10 +306,6 @@
     waiting_.clear();
 }
 
-void Wire::read(bool on) {
-    on ? bufferevent_enable(socket_.get(), EV_READ) : bufferevent_disable(socket_.get(), EV_READ);
-}
-
 Wire& World::connect() { return connect(listen); }
 Wire& World::connect(const Address& to) { return clients_.emplace_back(base.get(), to); }
 HttpText World::ask(const std::string& text) {
