Hear a burst from every peer, and take back attempts that a leaving node has not seen

Seen by tests with the program as it was: of 1,023 datagrams that came while it stood still, it lost some, since the socket's buffer was the system's default; and an attempt that waited for its connection went out although its node had been announced as leaving meanwhile.

The receive buffer follows the number of peers (two datagrams each, at what one costs the system), a turn reads one of each, and a sender is found by its address without a search. When a list tells of leaving nodes, attempts at them of which no byte has left are withdrawn: they never ran, and their requests go on.

--- a/src/core/desk.cpp
+++ b/src/core/desk.cpp
@@ -2,6 +2,8 @@
 
 #include <cmath>
 #include <string>
+#include <unordered_set>
+#include <vector>
 
 namespace martencove {
 namespace {
@@ -61,6 +63,29 @@
 void Desk::learn(const NodeList& list) {
     remember(list);
     carryOut(facade_.report(nowMs(), list));
+    withdrawFrom(list);
+}
+
+// The rule on drains counts first bytes: an attempt that was decided before the list came may still wait for
+// its connection, for long if the loop stood still. It never ran, and its request goes on as the decisions
+// say.
+void Desk::withdrawFrom(const NodeList& list) {
+    std::unordered_set<NodeId> leaving;
+    for (const NodeEntry& node : list.nodes)
+        if (node.state != NodeState::ready) leaving.insert(node.id);
+    if (leaving.empty()) return;
+    std::vector<AttemptName> back;
+    for (const auto& [id, held] : held_)
+        for (const auto& [number, out] : held.out)
+            if (leaving.contains(out.node)) back.push_back({id, number});
+    for (const AttemptName& name : back) {
+        const auto at = held_.find(name.id);
+        if (at == held_.end() || !at->second.out.contains(name.number)) continue;
+        const auto job = at->second.job;  // lives through the call
+        if (!job->withdraw(name.number)) continue;
+        counters_.add("attempt_withdrawn");
+        over(name.id, name.number, Ending::notConnected);
+    }
 }
 
 void Desk::hear(const PeerMessage& message) { carryOut(facade_.report(nowMs(), message)); }
--- a/src/core/desk.h
+++ b/src/core/desk.h
@@ -22,6 +22,9 @@
     virtual void send(const Attempt& attempt, const NodeEntry& node) = 0;
     /// Calls an attempt off: over() is not called for it any more.
     virtual void cancel(int attempt) = 0;
+    /// Calls an attempt off if none of its bytes has left; true: nothing of it ever will, and over() is not
+    /// called for it any more.
+    virtual bool withdraw(int attempt) = 0;
     /// The final answer, once, unless the client is gone.
     virtual void answer(const Answer& answer) = 0;
 };
@@ -74,6 +77,8 @@
     void release(const RequestId& id);
     void countUnits(const char* what, const Held& held);
     void remember(const NodeList& list);
+    /// Takes back what was decided for nodes that leave and has not begun to go out.
+    void withdrawFrom(const NodeList& list);
 
     Facade& facade_;
     const Clock& clock_;
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -14,7 +14,9 @@
     std::size_t answersHeld = 8 * 1024 * 1024;  // of all of them that are in memory
     std::size_t headers = 8 * 1024;
     std::size_t datagram = 256;
-    std::size_t nbdOption = 4200;        // an option's data: two names at the most
+    std::size_t datagramCost =
+        1280;                      // what a received one takes of the socket's buffer, with the system's part
+    std::size_t nbdOption = 4200;  // an option's data: two names at the most
     std::size_t nbdUnsent = 256 * 1024;  // replies that a client has not read: no more commands are taken
     std::size_t listBody = 1024 * 1024;  // of an answer of discovery
     std::size_t nodeFileBytes = 32 * 1024 * 1024;  // of all files of one version of the nodes
@@ -28,7 +30,9 @@
     std::size_t nodeConnections = 480;
     std::size_t openRequests = 4096;
     std::size_t nodes = 100'000;
-    std::size_t swapSlice = 64;  // changes of nodes told at once, beyond a shard's own
+    std::size_t datagramsEach = 2;     // of each peer that wait to be read: a bid and a sum
+    std::size_t datagramsHeld = 8192;  // of all of them
+    std::size_t swapSlice = 64;        // changes of nodes told at once, beyond a shard's own
     std::size_t xdsStreams = 16;
     std::size_t nbdClients = 32;
     std::size_t nbdCommands = 16;        // in work for one client
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -49,6 +49,13 @@
 
     void cancel(int attempt) override { exchanges_.erase(attempt); }
 
+    bool withdraw(int attempt) override {
+        const auto at = exchanges_.find(attempt);
+        if (at == exchanges_.end() || at->second->begun()) return false;
+        exchanges_.erase(at);
+        return true;
+    }
+
     void answer(const Answer& answer) override {
         if (request_ == nullptr) return;
         evhttp_request* request = release();
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -39,7 +39,7 @@
 
 void Link::begin(double timeoutMs, Over over) {
     over_ = std::move(over);
-    settled_ = sent_ = written_ = false;
+    settled_ = begun_ = sent_ = written_ = false;
     timeout_.start(timeoutMs);
     if (std::exchange(dialled_, true)) return;
     dial_.start(limits_.dialMs);
@@ -75,6 +75,7 @@
 
 void Link::moved(evbuffer* buffer, const evbuffer_cb_info* info, void* arg) {
     auto* self = static_cast<Link*>(arg);
+    if (self->sent_ && info->n_deleted > 0) self->begun_ = true;
     if (self->sent_ && info->n_deleted > 0 && evbuffer_get_length(buffer) == 0) self->written_ = true;
 }
 
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -33,6 +33,8 @@
     [[nodiscard]] const Address& node() const { return node_; }
     /// Whether it can take work: it is up, and no bytes have come that belong to no answer.
     [[nodiscard]] bool usable();
+    /// Whether a byte of the present work has left; a handshake's are none of it.
+    [[nodiscard]] bool begun() const { return begun_; }
     [[nodiscard]] bool closed() const { return closed_; }
     /// Gives up what is in work and says nothing any more.
     void stop();
@@ -71,6 +73,7 @@
     bool keep_ = false;
     bool dialled_ = false;
     bool closed_ = false;
+    bool begun_ = false;    // a byte of the work has left the socket's buffer here
     bool sent_ = false;     // the work's last byte was handed to the socket
     bool written_ = false;  // and has left it
 };
--- a/src/net/link_pool.h
+++ b/src/net/link_pool.h
@@ -27,6 +27,8 @@
     }
     Exchange(const Exchange&) = delete;
     Exchange& operator=(const Exchange&) = delete;
+    /// Whether a byte of the work has left.
+    [[nodiscard]] bool begun() const { return link_ && link_->begun(); }
 
 private:
     friend class LinkPool<Wire>;
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -9,9 +9,17 @@
 
 namespace martencove {
 
-Peers::Peers(event_base* base, const Address& listen, std::vector<Address> peers, const Limits& limits,
+namespace {
+
+std::uint64_t keyOf(const sockaddr_in& a) {
+    return static_cast<std::uint64_t>(a.sin_addr.s_addr) << 16 | a.sin_port;
+}
+
+}  // namespace
+
+Peers::Peers(event_base* base, const Address& listen, const std::vector<Address>& peers, const Limits& limits,
              Counters& counters, Log& log, std::function<void(const PeerMessage&)> heard)
-    : peers_(std::move(peers)), limits_(limits), counters_(counters), log_(log), heard_(std::move(heard)) {
+    : limits_(limits), counters_(counters), log_(log), heard_(std::move(heard)) {
     socket_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const sockaddr_in address = listen.socketAddress();
     if (socket_ < 0 || bind(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
@@ -19,6 +27,7 @@
         if (socket_ >= 0) close(socket_);
         throw std::system_error(error, std::generic_category(), "peer_listen " + listen.text());
     }
+    reach(peers);
     event_.reset(event_new(base, socket_, EV_READ | EV_PERSIST, readable, this));
     event_add(event_.get(), nullptr);
 }
@@ -28,6 +37,28 @@
     close(socket_);
 }
 
+void Peers::reach(const std::vector<Address>& peers) {
+    peers_.clear();
+    numbers_.clear();
+    for (const Address& peer : peers) {
+        numbers_.try_emplace(keyOf(peer.socketAddress()), static_cast<int>(peers_.size()));
+        peers_.push_back(peer.socketAddress());
+    }
+    makeRoom();
+}
+
+// Rounds begin at the same moment everywhere, so that bids come together. The system doubles what it is asked
+// for, to cover its own use, and grants what it allows at most.
+void Peers::makeRoom() {
+    const int bytes = static_cast<int>(
+        std::min(limits_.datagramsHeld, limits_.datagramsEach * peers_.size()) * limits_.datagramCost);
+    int now = 0;
+    socklen_t size = sizeof now;
+    if (getsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &now, &size) == 0 && now >= bytes) return;
+    if (setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &bytes, sizeof bytes) != 0)
+        log_.warn("peer", "no larger receive buffer", {{"bytes", bytes}});
+}
+
 // A datagram that does not leave is one that the network lost: the module reckons with it.
 void Peers::tell(const PeerMessage& message) {
     if (message.peer < 0 || message.peer >= static_cast<int>(peers_.size()) ||
@@ -35,7 +66,7 @@
         counters_.add("peer_unsent");
         return;
     }
-    const sockaddr_in to = peers_[message.peer].socketAddress();
+    const sockaddr_in& to = peers_[message.peer];
     const ssize_t sent = sendto(socket_, message.text.data(), message.text.size(), MSG_DONTWAIT,
                                 reinterpret_cast<const sockaddr*>(&to), sizeof to);
     counters_.add(sent < 0 ? "peer_unsent" : "peer_sent");
@@ -43,25 +74,24 @@
 
 void Peers::readable(evutil_socket_t, short, void* self) { static_cast<Peers*>(self)->receive(); }
 
+// In one turn what is there, but at most one of each peer: then others get their turn.
 void Peers::receive() {
     std::string text(limits_.datagram + 1, '\0');
-    for (int i = 0; i < 64; ++i) {  // then others get their turn
+    const std::size_t most = std::max<std::size_t>(64, peers_.size());
+    for (std::size_t i = 0; i < most; ++i) {
         sockaddr_in from{};
         socklen_t size = sizeof from;
         const ssize_t got =
             recvfrom(socket_, text.data(), text.size(), 0, reinterpret_cast<sockaddr*>(&from), &size);
         if (got < 0) return;
-        const auto peer = std::find_if(peers_.begin(), peers_.end(), [&](const Address& a) {
-            const sockaddr_in known = a.socketAddress();
-            return known.sin_addr.s_addr == from.sin_addr.s_addr && known.sin_port == from.sin_port;
-        });
-        if (peer == peers_.end() || static_cast<std::size_t>(got) > limits_.datagram) {
+        const auto peer = numbers_.find(keyOf(from));
+        if (peer == numbers_.end() || static_cast<std::size_t>(got) > limits_.datagram) {
             counters_.add("peer_bad");
-            log_.warn("peer", peer == peers_.end() ? "datagram from a stranger" : "datagram too long");
+            log_.warn("peer", peer == numbers_.end() ? "datagram from a stranger" : "datagram too long");
             continue;
         }
         counters_.add("peer_received");
-        heard_({static_cast<int>(peer - peers_.begin()), text.substr(0, static_cast<std::size_t>(got))});
+        heard_({peer->second, text.substr(0, static_cast<std::size_t>(got))});
     }
 }
 
--- a/src/net/peers.h
+++ b/src/net/peers.h
@@ -1,7 +1,11 @@
 // Datagrams between schedulers.
 #pragma once
 
+#include <netinet/in.h>
+
+#include <cstdint>
 #include <functional>
+#include <unordered_map>
 #include <vector>
 
 #include "core/counters.h"
@@ -16,7 +20,7 @@
 class Peers {
 public:
     /// Throws std::system_error where `listen` cannot be bound.
-    Peers(event_base* base, const Address& listen, std::vector<Address> peers, const Limits& limits,
+    Peers(event_base* base, const Address& listen, const std::vector<Address>& peers, const Limits& limits,
           Counters& counters, Log& log, std::function<void(const PeerMessage&)> heard);
     ~Peers();
     Peers(const Peers&) = delete;
@@ -24,13 +28,17 @@
 
     void tell(const PeerMessage& message);
     /// Their addresses from now on.
-    void reach(std::vector<Address> peers) { peers_ = std::move(peers); }
+    void reach(const std::vector<Address>& peers);
 
 private:
     static void readable(evutil_socket_t, short, void* self);
     void receive();
 
-    std::vector<Address> peers_;  // by number
+    /// Room for what all peers may send in a moment, as far as the system grants it.
+    void makeRoom();
+
+    std::vector<sockaddr_in> peers_;                  // by number
+    std::unordered_map<std::uint64_t, int> numbers_;  // the same by address and port: the lowest of each
     const Limits& limits_;
     Counters& counters_;
     Log& log_;
--- a/tests/program/list_test.cpp
+++ b/tests/program/list_test.cpp
@@ -1,6 +1,9 @@
 // The list of nodes on its way into the program: cut, spoilt, late, from an address that it moves away from.
 // Each case is an order of events after which a node that had been announced as leaving got requests.
 #include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "world.h"
 
@@ -148,3 +151,89 @@
     REQUIRE(onRequest.until([&] { return onRequest.watched.find("wait_ms=") != std::string::npos; }));
     CHECK(onRequest.watched.find("wait_ms=5000 ") != std::string::npos);
 }
+
+namespace {
+
+/// A port at which connections do not come up, as its queue is full, until it is opened.
+struct Jam {
+    Jam() : listener(socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0)) {
+        sockaddr_in in = martencove::Address{"127.0.0.1", 0}.socketAddress();
+        bind(listener, reinterpret_cast<sockaddr*>(&in), sizeof in);
+        socklen_t size = sizeof in;
+        getsockname(listener, reinterpret_cast<sockaddr*>(&in), &size);
+        address = {"127.0.0.1", ntohs(in.sin_port)};
+        listen(listener, 0);
+        for (int& fd : fill) {
+            fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+            (void)connect(fd, reinterpret_cast<sockaddr*>(&in), sizeof in);
+        }
+    }
+    ~Jam() {
+        for (const int fd : fill) close(fd);
+        close(listener);
+    }
+    /// Takes what waits; the bytes that any of it has brought.
+    std::size_t bytes() {
+        for (int fd = 0; (fd = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK)) >= 0;) taken.push_back(fd);
+        std::size_t out = 0;
+        char some[64];
+        for (const int fd : taken)
+            if (const ssize_t got = recv(fd, some, sizeof some, 0); got > 0)
+                out += static_cast<std::size_t>(got);
+        return out;
+    }
+    int listener;
+    int fill[3];
+    std::vector<int> taken;
+    martencove::Address address;
+};
+
+}  // namespace
+
+// Guards against an attempt that waits for its connection while its node is announced as leaving: the rule
+// counts the first byte, whenever the attempt was decided.
+TEST_CASE("list: what was decided before the list came and has not begun to go out is taken back") {
+    Fleet t(false);
+    Jam jam;
+    t.world.config["settings"]["Limits"]["DialTimeoutMs"] = 60'000;
+    t.world.config["known"]["hosts"] = Json::array({t.world.entry("s-1", jam.address, 5, "ready")});
+    t.world.start();
+    Wire& client = t.world.connect();
+    client.send(t.world.request("0000000000000001", "", 5000));
+    REQUIRE(t.world.until([&] { return t.world.counter("attempt_sent") == 1; }));
+    t.world.tell("s-1", jam.address, 5, "draining");
+    std::optional<HttpText> answer;
+    REQUIRE(t.world.until([&] { return (answer = takeHttp(client.got)).has_value(); }));
+    CHECK(answer->code() == 503);  // it never ran
+    CHECK(t.world.counter("attempt_withdrawn") == 1);
+    std::size_t bytes = 0;
+    (void)t.world.until([&] { return (bytes += jam.bytes()) > 0; }, 100);
+    CHECK(bytes == 0);
+}
+
+// Guards against datagrams lost for want of room or of turns: all peers bid at the same moment.
+TEST_CASE("peers: a burst of one datagram from each of 1,024 is heard whole") {
+    World world;
+    Json peers = Json::array({world.peerListen.text()});
+    std::vector<int> sockets;
+    for (int i = 1; i < 1024; ++i) {
+        sockets.push_back(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
+        sockaddr_in in = martencove::Address{"127.0.0.1", 0}.socketAddress();
+        REQUIRE(bind(sockets.back(), reinterpret_cast<sockaddr*>(&in), sizeof in) == 0);
+        socklen_t size = sizeof in;
+        getsockname(sockets.back(), reinterpret_cast<sockaddr*>(&in), &size);
+        peers.push_back("127.0.0.1:" + std::to_string(ntohs(in.sin_port)));
+    }
+    world.config["peers"] = peers;
+    world.config["settings"]["Siblings"] = 1024;
+    world.start();
+    world.signal(SIGSTOP);  // they all come before it reads one
+    const sockaddr_in to = world.peerListen.socketAddress();
+    const std::string text(256, 'x');
+    for (const int fd : sockets)
+        CHECK(sendto(fd, text.data(), text.size(), 0, reinterpret_cast<const sockaddr*>(&to), sizeof to) ==
+              256);
+    world.signal(SIGCONT);
+    CHECK(world.until([&] { return world.counter("peer_received") == 1023; }, 5000));
+    for (const int fd : sockets) close(fd);
+}
