--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -13,6 +13,7 @@
 #include "net/log.h"
 #include "net/loop.h"
 #include "net/peers.h"
+#include "ops/front.h"
 #ifdef MARTENCOVE_XDS
 #include "xds/server.h"
 #endif
@@ -71,6 +72,11 @@
             xds_.emplace(base_.get(), *extras.xds, config_.limits, counters_,
                          [this] { return desk_.view(); });
 #endif
+        if (config_.ops)
+            ops_.emplace(base_.get(), *config_.ops,
+                         ops::Ports{[this] { return takesClients(); }, [this] { front_.evacuate(true); },
+                                    [this] { front_.evacuate(false); }},
+                         clock_, config_.limits, counters_, log_);
         if (discovery_ && config_.limits.listPushed) {
             front_.hold();
             if (nbdFront_) nbdFront_->hold();
@@ -119,6 +125,11 @@
         }
     }
 
+    [[nodiscard]] bool takesClients() const {
+        const bool held = discovery_ && config_.limits.listPushed && !opened_;
+        return !held && !drainedMs_ && !front_.evacuating();
+    }
+
     // The list that a program starts with may be old, and what the agent on its machine holds counts as told:
     // clients wait in the listener's queue until that has come, but not for one that stays silent.
     void open() {
@@ -193,6 +204,7 @@
     std::optional<etcd::Source> etcd_;  // in discovery's place
 #endif
     HttpFront front_;
+    std::optional<ops::Front> ops_;
     std::optional<nbd::Pool> nbdPool_;
     std::optional<nbd::Front> nbdFront_;
 #ifdef MARTENCOVE_XDS
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -56,6 +56,8 @@
     out.listen = address(told(json, first, "NODE_LISTEN", "listen"), "listen");
     if (!variable("NODE_DISCOVERY").empty() || find(json, "discovery") != nullptr)
         out.discovery = address(told(json, first, "NODE_DISCOVERY", "discovery"), "discovery");
+    if (!variable("NODE_OPS").empty() || find(json, "ops") != nullptr)
+        out.ops = address(told(json, first, "NODE_OPS", "ops"), "ops");
     out.seed = seedOf(text(need(json, "seed"), "seed"));
     if (const Json* listen = find(json, "peer_listen")) {
         out.peerListen = address(text(*listen, "peer_listen"), "peer_listen");
@@ -106,7 +108,7 @@
     double longestMs = 0;
     for (const auto& c : out.site.module.classes) longestMs = std::max(longestMs, c.deadlineMs);
     limits.drainMostMs = std::max(longestMs, 3000.0) + 550;
-    for (const char* field : {"name", "listen", "limits", "peer_listen", "settings"}) {
+    for (const char* field : {"name", "listen", "limits", "peer_listen", "ops", "settings"}) {
         if (const Json* value = find(json, field)) out.fixed[field] = value->dump();
     }
     return out;
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -28,6 +28,7 @@
     std::optional<Address> discovery;  ///< where storage nodes come from, unless the operator's file says
     std::uint64_t seed = 0;
     std::optional<Address> peerListen;
+    std::optional<Address> ops;  ///< the second address, for operators' tools
     std::vector<Address> peers;  ///< by their numbers in the settings
     NodeList known;
     limedrum::Site site;
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -19,6 +19,7 @@
     std::size_t nbdOption = 4200;  // an option's data: two names at the most
     std::size_t nbdUnsent = 256 * 1024;  // replies that a client has not read: no more commands are taken
     std::size_t listBody = 1024 * 1024;  // of an answer of discovery
+    std::size_t opsBody = 4 * 1024;      // of a call at the second address: it means nothing
     std::size_t nodeFileBytes = 32 * 1024 * 1024;  // of all files of one version of the nodes
     std::size_t operatorBytes = 1024 * 1024;       // of the operator's file
 
@@ -38,6 +39,7 @@
     std::size_t nbdCommands = 16;        // in work for one client
     std::size_t nbdOptions = 64;         // in one handshake
     std::size_t nbdChunks = 1024;        // of one reply
+    std::size_t opsConnections = 32;     // at the second address
     std::size_t logLinesPerSecond = 20;  // of one kind
 
     // Times, in ms.
@@ -73,7 +75,9 @@
     double xdsLookMs = 500;       // between looks at what proxies should be told
     double notTakenBackMs = 0;    // what a request beyond the bounds is advised to wait; 0: no advice allowed
     double nbdHandshakeMs = 5000;
-    double sweepMs = 250;  // between looks at idle connections
+    double opsSilentMs = 5000;     // a caller at the second address that has not brought its call
+    double evacuateCloseMs = 450;  // after the call, as after SIGTERM: new connections have stopped coming
+    double sweepMs = 250;          // between looks at idle connections
 };
 
 }  // namespace martencove
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -252,6 +252,11 @@
     accepting_ = false;
 }
 
+void HttpFront::evacuate(bool on) {
+    if (!on) return evacuatedMs_.reset();
+    if (!evacuating()) evacuatedMs_ = desk_.nowMs();
+}
+
 void HttpFront::open() {
     onHold_ = false;
     look_.start(0);
@@ -265,6 +270,8 @@
         closeSilent(limits_.spareDescriptors, limits_.crowdedSilentMs);
         closeIdle(limits_.spareDescriptors, limits_.crowdedIdleMs);
     }
+    if (evacuating() && desk_.nowMs() - *evacuatedMs_ >= limits_.evacuateCloseMs)
+        closeIdle(connections_.size(), 0);
     if (!onHold_) accept(!crowded());
     look_.start(accepting_ || onHold_ ? limits_.sweepMs : limits_.crowdedLookMs);
 }
@@ -313,8 +320,8 @@
     client->second.coming->begun = false;
     std::string wrong;
     if (!framedWell(request, wrong)) return refuse(request, wrong);
-    if (path == "/healthz" && ready_ && !ready_())
-        return reply(request, 503, "Service Unavailable", "no nodes\n");
+    if (path == "/healthz" && (evacuating() || (ready_ && !ready_())))
+        return reply(request, 503, "Service Unavailable", evacuating() ? "evacuated\n" : "no nodes\n");
     if (path == "/healthz") return reply(request, 200, "OK", "ok\n");
     if (path == "/counters") return reply(request, 200, "OK", desk_.counters().text());
     if (const auto page = pages_.find(path); page != pages_.end())
@@ -357,7 +364,7 @@
 
 void HttpFront::reply(evhttp_request* request, int code, const char* reason, std::string body) {
     // Near the bound a connection that rests is one that another client cannot have.
-    if (draining_ || connections_.size() + unheard_.size() > limits_.keptConnections)
+    if (draining_ || evacuating() || connections_.size() + unheard_.size() > limits_.keptConnections)
         evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
     if (!body.empty()) {
         auto leaving = std::make_unique<Leaving>(std::move(body), desk_.counters());
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -32,6 +32,10 @@
     /// New connections wait in the listener's queue until open().
     void hold();
     void open();
+    /// Sends clients away, or no longer: the front says that it is not ready, each answer ends its
+    /// connection, and those that rest are closed once new ones have stopped coming.
+    void evacuate(bool on);
+    [[nodiscard]] bool evacuating() const { return evacuatedMs_.has_value(); }
     /// From now on each answer ends its connection.
     void drain() { draining_ = true; }
     /// Takes no new connections and closes those without a request in work or on its way.
@@ -63,6 +67,7 @@
     const Limits& limits_;
     Log& log_;
     bool draining_ = false;
+    std::optional<double> evacuatedMs_;  // since when
     bool accepting_ = true;
     bool onHold_ = false;
     /// Whether anything has come on a connection since its last whole request. evhttp takes headers out of
--- /dev/null
+++ b/src/ops/front.cpp
@@ -0,0 +1,108 @@
+#include "ops/front.h"
+
+#include <sys/socket.h>
+
+#include <stdexcept>
+#include <string>
+#include <utility>
+
+namespace martencove::ops {
+namespace {
+
+/// Whether evhttp has closed a connection whose buffers are still held here.
+bool letGo(bufferevent* buffers) {
+    bufferevent_event_cb onEvent = nullptr;
+    bufferevent_getcb(buffers, nullptr, nullptr, &onEvent, nullptr);
+    return onEvent == nullptr;
+}
+
+void answer(evhttp_request* request, bool yes, const char* allow = nullptr) {
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    evhttp_add_header(headers, "Connection", "close");
+    if (allow != nullptr) evhttp_add_header(headers, "Allow", allow);
+    const int code = yes ? 200 : allow != nullptr ? 405 : 503;
+    evhttp_send_reply(request, code,
+                      yes                ? "OK"
+                      : allow != nullptr ? "Method Not Allowed"
+                                         : "Service Unavailable",
+                      nullptr);
+}
+
+}  // namespace
+
+Front::Front(event_base* base, const Address& listen, Ports ports, const Clock& clock, const Limits& limits,
+             Counters& counters, Log& log)
+    : ports_(std::move(ports)),
+      clock_(clock),
+      limits_(limits),
+      counters_(counters),
+      log_(log),
+      sweep_(base, [this] { sweep(); }),
+      server_(evhttp_new(base)) {
+    evhttp_set_max_headers_size(server_.get(), static_cast<ev_ssize_t>(limits.headers));
+    evhttp_set_max_body_size(server_.get(), static_cast<ev_ssize_t>(limits.opsBody));
+    evhttp_set_allowed_methods(server_.get(), EVHTTP_REQ_GET | EVHTTP_REQ_PUT | EVHTTP_REQ_HEAD |
+                                                  EVHTTP_REQ_POST | EVHTTP_REQ_DELETE);
+    evhttp_set_gencb(server_.get(), requested, this);
+    evhttp_set_bevcb(server_.get(), accepted, this);
+    if (evhttp_bind_socket(server_.get(), listen.host.c_str(), listen.port) != 0)
+        throw std::runtime_error("ops: cannot bind " + listen.text());
+    sweep_.start(limits_.sweepMs);
+}
+
+// Beyond the bound the oldest caller gives way: one that is served is gone at once, so that it is one that
+// says nothing.
+bufferevent* Front::accepted(event_base* base, void* arg) {
+    auto* self = static_cast<Front*>(arg);
+    self->counters_.add("ops_connection");
+    self->sweep();
+    if (self->callers_.size() >= self->limits_.opsConnections) {
+        shutdown(bufferevent_getfd(self->callers_.front().buffers.get()), SHUT_RDWR);
+        self->callers_.pop_front();
+        self->counters_.add("ops_crowd");
+    }
+    bufferevent* buffers = bufferevent_socket_new(base, -1, 0);
+    if (buffers == nullptr) return nullptr;
+    // An answer is due whatever the load.
+    bufferevent_priority_set(buffers, kFirstPriority);
+    bufferevent_incref(buffers);
+    self->callers_.push_back({std::unique_ptr<bufferevent, Release>(buffers), self->clock_.nowMs()});
+    return buffers;
+}
+
+void Front::sweep() {
+    std::erase_if(callers_, [](const Caller& c) { return letGo(c.buffers.get()); });
+    // evhttp's own time-out begins anew with each byte.
+    const double before = clock_.nowMs() - limits_.opsSilentMs;
+    while (!callers_.empty() && callers_.front().sinceMs < before) {
+        shutdown(bufferevent_getfd(callers_.front().buffers.get()), SHUT_RDWR);
+        callers_.pop_front();
+        counters_.add("ops_silent");
+    }
+    sweep_.start(limits_.sweepMs);
+}
+
+void Front::requested(evhttp_request* request, void* self) { static_cast<Front*>(self)->take(request); }
+
+void Front::take(evhttp_request* request) {
+    counters_.add("ops_call");
+    const char* uri = evhttp_request_get_uri(request);
+    const std::string target = uri == nullptr ? "" : uri;
+    const std::string path = target.substr(0, target.find('?'));
+    const auto command = evhttp_request_get_command(request);
+    if (path == "/api/ready") {
+        if (command != EVHTTP_REQ_GET && command != EVHTTP_REQ_HEAD) return answer(request, false, "GET");
+        return answer(request, ports_.ready());
+    }
+    if (path == "/api/evacuate" || path == "/api/rejoin") {
+        if (command != EVHTTP_REQ_PUT) return answer(request, false, "PUT");
+        log_.info("ops", "called", {{"call", path}});
+        path == "/api/evacuate" ? ports_.evacuate() : ports_.rejoin();
+        return answer(request, true);
+    }
+    counters_.add("ops_unknown");
+    evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+    evhttp_send_reply(request, 404, "Not Found", nullptr);
+}
+
+}  // namespace martencove::ops
