Take other settings at SIGHUP: classes come and go, open requests keep their rules

Attempts are kept with the request. A file that lacks a key of the present one, or has a deadline or attempts that are no positive number, changes nothing.

--- a/include/limedrum/scheduler.h
+++ b/include/limedrum/scheduler.h
@@ -41,6 +41,8 @@
     bool stream = false;
     double worth = 1;
     double lateWorth = 0;  ///< part of the worth for an answer after the aim
+    bool dropped = false;  ///< only requests taken before have it
+    bool operator==(const ClassSettings&) const = default;
 };
 
 /// Figures of a plan apply to each of its volumes over all hosts and nodes together.
@@ -202,6 +204,10 @@
     /// Handles what arrived at `nowMs`, in order; returns what to do at `nowMs`, in order.
     [[nodiscard]] std::vector<Action> handle(double nowMs, std::span<const Event> events);
 
+    /// Other settings from now on. Classes keep their numbers; requests go on by the class and the attempts
+    /// that they were taken with. Throws like the constructor, and nothing has changed.
+    void retune(Settings settings);
+
     /// All nodes of the list that are not gone, by their numbers.
     [[nodiscard]] std::vector<NodeView> view() const;
 
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -14,6 +14,7 @@
 #include "net/loop.h"
 #include "net/peers.h"
 #include "ops/front.h"
+#include "settings_json/retune.h"
 #ifdef MARTENCOVE_XDS
 #include "xds/server.h"
 #endif
@@ -109,6 +110,12 @@
     void reload() {
         try {
             const Config next = readConfigAgain();
+            limedrum::requireKeys(config_.source, next.source);
+            limedrum::Site site = limedrum::retuned(config_.site, next.site);
+            facade_.retune(site.module);  // the last that can throw: from here on all of it is taken
+            config_.site = std::move(site);
+            config_.limits.retune(next.limits);
+            config_.source = next.source;
             counters_.add("config_read");
             log_.info("configuration", "read",
                       {{"discovery", next.discovery ? next.discovery->text() : std::string("none")}});
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -108,9 +108,11 @@
     double longestMs = 0;
     for (const auto& c : out.site.module.classes) longestMs = std::max(longestMs, c.deadlineMs);
     limits.drainMostMs = std::max(longestMs, 3000.0) + 550;
-    for (const char* field : {"name", "listen", "limits", "peer_listen", "ops", "settings"}) {
+    for (const char* field : {"name", "listen", "limits", "peer_listen", "ops"}) {
         if (const Json* value = find(json, field)) out.fixed[field] = value->dump();
     }
+    out.source = json;
+    out.source.erase("known");
     return out;
 }
 
--- a/src/config/config.h
+++ b/src/config/config.h
@@ -3,7 +3,7 @@
 
 #include <cstdint>
 #include <map>
-#include <nlohmann/json_fwd.hpp>
+#include <nlohmann/json.hpp>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -33,6 +33,7 @@
     NodeList known;
     limedrum::Site site;
     Limits limits;
+    nlohmann::json source;  ///< the file, less its list of nodes
     /// What a running program cannot take over, as text by field: a change waits for the next start.
     std::map<std::string, std::string> fixed;
 };
--- a/src/core/facade.h
+++ b/src/core/facade.h
@@ -27,6 +27,9 @@
     [[nodiscard]] Todo report(double nowMs, const NodeList& list);
     /// A peer said something.
     [[nodiscard]] Todo report(double nowMs, const PeerMessage& message);
+    /// The settings are others from now on; requests keep the classes and attempts that they were taken with.
+    /// Throws std::invalid_argument, and nothing has changed.
+    void retune(limedrum::Settings settings) { scheduler_.retune(std::move(settings)); }
     /// Time has passed.
     [[nodiscard]] Todo tick(double nowMs);
     /// When tick() is due next.
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -75,6 +75,18 @@
     double xdsLookMs = 500;       // between looks at what proxies should be told
     double notTakenBackMs = 0;    // what a request beyond the bounds is advised to wait; 0: no advice allowed
     double nbdHandshakeMs = 5000;
+    /// Takes over what follows from settings that may change while the program runs.
+    void retune(const Limits& next) {
+        openRequests = next.openRequests;
+        dialMs = next.dialMs;
+        nodeIdleMs = next.nodeIdleMs;
+        notTakenBackMs = next.notTakenBackMs;
+        watchWaitMs = next.watchWaitMs;
+        watchGraceMs = next.watchGraceMs;
+        drainMostMs =
+            std::max(drainMostMs, next.drainMostMs);  // requests of a dropped class may still be open
+    }
+
     double opsSilentMs = 5000;     // a caller at the second address that has not brought its call
     double evacuateCloseMs = 450;  // after the call, as after SIGTERM: new connections have stopped coming
     double sweepMs = 250;          // between looks at idle connections
--- a/src/limedrum/decide.cpp
+++ b/src/limedrum/decide.cpp
@@ -85,21 +85,21 @@
 
 class Scheduler::Impl {
 public:
-    Impl(Settings settings, std::uint64_t seed, double nowMs)
-        : set_(checked(std::move(settings))),
-          random_(seed),
-          now_(finiteOr(nowMs, 0)),
-          startMs_(now_),
-          sweptMs_(now_) {
+    Impl(Settings settings, std::uint64_t seed, double nowMs) : random_(seed), now_(finiteOr(nowMs, 0)) {
+        retune(std::move(settings));
+        if (set_.listOnRequest) askMs_ = now_;
+    }
+
+    // Requests go on by the class and the attempts that they were taken with.
+    void retune(Settings settings) {
+        set_ = checked(std::move(settings));
+        aimMs_ = kNever;
         for (const ClassSettings& c : set_.classes)
-            aimMs_ = std::min(aimMs_, c.aimMs > 0 ? c.aimMs : c.deadlineMs);
-        lives_.assign(set_.classes.size(), 0);
+            if (!c.dropped) aimMs_ = std::min(aimMs_, c.aimMs > 0 ? c.aimMs : c.deadlineMs);
         longestMs_ = set_.rules.fallMs;
         for (std::size_t i = 0; i < set_.plans.size(); ++i)
             if (const auto b = limitBudget(static_cast<int>(i)))
                 longestMs_ = std::max(longestMs_, b->windowMs);
-        roundStartMs_ = std::floor(now_ / kRoundMs) * kRoundMs;
-        if (set_.listOnRequest) askMs_ = now_;
     }
 
     std::vector<Action> handle(double nowMs, std::span<const Event> events) {
@@ -263,6 +263,7 @@
         const ClassSettings& cls = set_.classes[event.classNo];
         Request& r = requests_[event.id];
         r.told = event;
+        r.cap = set_.attemptCap;
         // No client waits longer than its class, nor is a volume met by more hosts than there are: one that
         // says so must not count in what is learned of the others.
         r.told.expiresMs = std::min(event.expiresMs, now_ + cls.deadlineMs);
@@ -272,9 +273,8 @@
         r.takenMs = now_;
         lookAt(r, now_ + kHoldPart * (r.told.expiresMs - now_));
         // A client's repeat brings what is left of its first try's life: its aim counts from then.
-        double& life = lives_[event.classNo];
         const double left = r.told.expiresMs - now_;
-        life = std::max(life, left);
+        const double life = lives_[event.classNo] = std::max(lives_[event.classNo], left);
         const double age = life - left > kLateTryMs ? life - left : 0;
         r.lateTry = age > cls.aimMs;
         r.dueMs = r.lateTry ? r.told.expiresMs : std::min(now_ + cls.aimMs - age, r.told.expiresMs);
@@ -509,7 +509,7 @@
     // `ranMs`: when the first attempt that may have run was sent.
     bool mayRepeat(const Request& r, double ranMs) const {
         if (r.attempts == 0) return true;
-        if (r.attempts >= set_.attemptCap) return false;
+        if (r.attempts >= r.cap) return false;
         const ClassSettings& cls = classOf(r);
         if (ranMs == kNever || cls.repeat == Repeat::safe) return true;
         return cls.repeat == Repeat::keyed && now_ - ranMs < cls.repeatWindowMs - 2 * set_.tickMs;
@@ -973,16 +973,16 @@
     Settings set_;
     Random random_;
     double now_;
-    double startMs_;
+    double startMs_ = now_;
     double aimMs_ = kNever;  // the tightest
-    double roundStartMs_;
+    double roundStartMs_ = std::floor(now_ / kRoundMs) * kRoundMs;
     double tellSumsMs_ = kNever;  // when this host tells the sums of the bids that it gathers
-    double sweptMs_;
+    double sweptMs_ = now_;
     double armedMs_ = -1;
-    double askMs_ = kNever;      // when to ask for the subscription next
-    double longestMs_ = 0;       // the longest window of any shared budget
-    std::vector<double> lives_;  // for each class: the longest time to expiry seen
-    TurnedAway turnedAway_;      // units, this round
+    double askMs_ = kNever;        // when to ask for the subscription next
+    double longestMs_ = 0;         // the longest window of any shared budget
+    std::map<int, double> lives_;  // for each class: the longest time to expiry seen
+    TurnedAway turnedAway_;        // units, this round
     std::vector<Action> actions_;
     std::unordered_map<RequestId, Request> requests_;
     std::set<std::pair<double, RequestId>> expiries_;
@@ -1006,6 +1006,7 @@
 std::vector<Action> Scheduler::handle(double nowMs, std::span<const Event> events) {
     return impl_->handle(nowMs, events);
 }
+void Scheduler::retune(Settings settings) { impl_->retune(std::move(settings)); }
 std::vector<NodeView> Scheduler::view() const { return impl_->view(); }
 std::size_t Scheduler::tableSize() const { return impl_->tableSize(); }
 
--- a/src/limedrum/state.h
+++ b/src/limedrum/state.h
@@ -121,6 +121,7 @@
     int out = 0;
     bool lateTry = false;  // a client's repeat whose aim has passed
     bool drawn = false;    // its units have been taken from the volume's store
+    int cap = 1;           // attempts that it may have in all
     bool queued = false;
     bool streaming = false;
     bool givenUp = false;  // its attempt is being called off, its answer held for lost
