Hand sockets over to a next process, which takes clients while the old one finishes

Where the configuration has a second address and TMPDIR is set, a process that serves gives its listening and datagram sockets over a Unix socket there; the next one says when it takes clients, and the old one steps aside, or comes back if the next one ends. Tests: requests kept, new and open across the change, a next process that is killed, a stale socket; without it the second start fails.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -1,12 +1,15 @@
 #include "cli/program.h"
 
 #include <csignal>
+#include <cstdlib>
+#include <map>
 #include <utility>
 
 #include "core/desk.h"
 #ifdef MARTENCOVE_ETCD
 #include "etcd/source.h"
 #endif
+#include "handover/handover.h"
 #include "http/front.h"
 #include "nbd/front.h"
 #include "net/discovery.h"
@@ -34,7 +37,9 @@
           facade_(config_.site.module, config_.seed, clock_.nowMs(), config_.known),
           desk_(facade_, clock_, config_.limits, counters_, ports(), config_.known),
           pool_(base_.get(), clock_, config_.limits, counters_),
-          front_(base_.get(), config_.listen, desk_, pool_, config_.site, config_.limits, log_),
+          taken_(askForSockets()),
+          front_(base_.get(), config_.listen, desk_, pool_, config_.site, config_.limits, log_,
+                 taken("http")),
           term_(base_.get(), SIGTERM, [this] { drain(); }),
           interrupt_(base_.get(), SIGINT, [this] { drain(); }),
           hangup_(base_.get(), SIGHUP, [this] { reload(); }),
@@ -42,8 +47,9 @@
           end_(base_.get(), [this] { endSoon(); }),
           open_(base_.get(), [this] { open(); }) {
         if (config_.peerListen)
-            peers_.emplace(base_.get(), *config_.peerListen, config_.peers, config_.limits, counters_, log_,
-                           [this](const PeerMessage& message) { desk_.hear(message); });
+            peers_.emplace(
+                base_.get(), *config_.peerListen, config_.peers, config_.limits, counters_, log_,
+                [this](const PeerMessage& message) { desk_.hear(message); }, taken("peers"));
         const auto told = [this](const NodeList& list) { desk_.learn(list); };
         bool watch = true;
 #ifdef MARTENCOVE_OPERATOR
@@ -55,7 +61,8 @@
         }
         if (extras.nbd) {
             nbdPool_.emplace(base_.get(), clock_, config_.limits, counters_);
-            nbdFront_.emplace(base_.get(), std::move(*extras.nbd), desk_, *nbdPool_, config_.limits, log_);
+            nbdFront_.emplace(base_.get(), std::move(*extras.nbd), desk_, *nbdPool_, config_.limits, log_,
+                              taken("nbd"));
         }
 #endif
 #ifdef MARTENCOVE_ETCD
@@ -78,12 +85,17 @@
                          ops::Ports{[this] { return takesClients(); }, [this] { front_.evacuate(true); },
                                     [this] { front_.evacuate(false); }},
                          clock_, config_.limits, counters_, log_);
+        if (!sharedFolder().empty())
+            giver_.emplace(
+                base_.get(), handoverPath(), [this] { return sockets(); }, [this](bool on) { stepAside(on); },
+                counters_, log_);
         if (discovery_ && config_.limits.listPushed) {
             front_.hold();
             if (nbdFront_) nbdFront_->hold();
             discovery_->onHeard([this] { open(); });
             open_.start(config_.limits.firstListMs);
-        }
+        } else
+            open();
         desk_.tick();
         log_.info("start", "listens",
                   {{"name", config_.name},
@@ -133,8 +145,35 @@
     }
 
     [[nodiscard]] bool takesClients() const {
-        const bool held = discovery_ && config_.limits.listPushed && !opened_;
-        return !held && !drainedMs_ && !front_.evacuating();
+        return opened_ && !aside_ && !drainedMs_ && !front_.evacuating();
+    }
+
+    // A process takes over from another where the platform runs both with one folder, as it does where there
+    // is a second address.
+    [[nodiscard]] std::string sharedFolder() const {
+        const char* folder = std::getenv("TMPDIR");
+        return config_.ops && folder != nullptr ? folder : "";
+    }
+    [[nodiscard]] std::string handoverPath() const { return sharedFolder() + "/martencove.handover"; }
+    [[nodiscard]] std::optional<handover::Taken> askForSockets() {
+        if (sharedFolder().empty()) return std::nullopt;
+        auto taken = handover::ask(handoverPath(), config_.limits);
+        if (taken) log_.info("handover", "takes over the sockets of another process");
+        return taken;
+    }
+    [[nodiscard]] int taken(const char* name) { return taken_ ? taken_->take(name) : -1; }
+    [[nodiscard]] std::map<std::string, int> sockets() const {
+        std::map<std::string, int> out{{"http", front_.listener()}};
+        if (peers_) out["peers"] = peers_->descriptor();
+        if (nbdFront_) out["nbd"] = nbdFront_->listener();
+        std::erase_if(out, [](const auto& s) { return s.second < 0; });
+        return out;
+    }
+    void stepAside(bool on) {
+        aside_ = on;
+        front_.yield(on);
+        if (nbdFront_) on ? nbdFront_->hold() : nbdFront_->open();
+        if (peers_) peers_->yield(on);
     }
 
     // The list that a program starts with may be old, and what the agent on its machine holds counts as told:
@@ -142,6 +181,9 @@
     void open() {
         if (std::exchange(opened_, true)) return;
         open_.stop();
+        if (taken_) taken_->ready();
+        if (giver_) giver_->listen();
+        if (!discovery_ || !config_.limits.listPushed) return;  // it never held
         if (!discovery_->heard()) {
             counters_.add("started_unheard");
             log_.warn("start", "no list has come, clients are taken with the one from the configuration");
@@ -210,7 +252,10 @@
 #ifdef MARTENCOVE_ETCD
     std::optional<etcd::Source> etcd_;  // in discovery's place
 #endif
+    std::optional<handover::Taken> taken_;  // from the process before
     HttpFront front_;
+    std::optional<handover::Giver> giver_;
+    bool aside_ = false;
     std::optional<ops::Front> ops_;
     std::optional<nbd::Pool> nbdPool_;
     std::optional<nbd::Front> nbdFront_;
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -87,6 +87,7 @@
             std::max(drainMostMs, next.drainMostMs);  // requests of a dropped class may still be open
     }
 
+    double handoverMs = 1000;      // at a start: for sockets of a process that serves
     double opsSilentMs = 5000;     // a caller at the second address that has not brought its call
     double evacuateCloseMs = 450;  // after the call, as after SIGTERM: new connections have stopped coming
     double sweepMs = 250;          // between looks at idle connections
--- /dev/null
+++ b/src/handover/handover.cpp
@@ -0,0 +1,184 @@
+#include "handover/handover.h"
+
+#include <sys/socket.h>
+#include <sys/un.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <cstdio>
+#include <cstring>
+#include <utility>
+#include <vector>
+
+namespace martencove::handover {
+namespace {
+
+constexpr std::size_t kMostSockets = 8;
+constexpr std::size_t kNamesBytes = 256;
+constexpr char kReady = 'r';
+
+std::optional<sockaddr_un> addressOf(const std::string& path) {
+    sockaddr_un out{};
+    if (path.size() >= sizeof out.sun_path) return std::nullopt;
+    out.sun_family = AF_UNIX;
+    std::memcpy(out.sun_path, path.data(), path.size());
+    return out;
+}
+
+/// The names, each with a blank behind it, and the descriptors in their order.
+bool give(int to, const std::map<std::string, int>& sockets) {
+    std::string names;
+    std::vector<int> fds;
+    for (const auto& [name, fd] : sockets) {
+        names += name + ' ';
+        fds.push_back(fd);
+    }
+    if (fds.empty() || fds.size() > kMostSockets || names.size() > kNamesBytes) return false;
+    alignas(cmsghdr) char control[CMSG_SPACE(kMostSockets * sizeof(int))] = {};
+    iovec text{names.data(), names.size()};
+    msghdr message{};
+    message.msg_iov = &text;
+    message.msg_iovlen = 1;
+    message.msg_control = control;
+    message.msg_controllen = CMSG_SPACE(fds.size() * sizeof(int));
+    cmsghdr* head = CMSG_FIRSTHDR(&message);
+    head->cmsg_level = SOL_SOCKET;
+    head->cmsg_type = SCM_RIGHTS;
+    head->cmsg_len = CMSG_LEN(fds.size() * sizeof(int));
+    std::memcpy(CMSG_DATA(head), fds.data(), fds.size() * sizeof(int));
+    return sendmsg(to, &message, MSG_NOSIGNAL | MSG_DONTWAIT) == static_cast<ssize_t>(names.size());
+}
+
+bool sameUser(int connection) {
+    ucred other{};
+    socklen_t size = sizeof other;
+    return getsockopt(connection, SOL_SOCKET, SO_PEERCRED, &other, &size) == 0 && other.uid == geteuid();
+}
+
+}  // namespace
+
+void Descriptor::reset(int fd) {
+    if (fd_ >= 0) close(fd_);
+    fd_ = fd;
+}
+
+int Taken::take(const std::string& name) {
+    const auto at = sockets.find(name);
+    return at == sockets.end() ? -1 : at->second.release();
+}
+
+void Taken::ready() const { (void)!send(giver.get(), &kReady, 1, MSG_NOSIGNAL | MSG_DONTWAIT); }
+
+std::optional<Taken> ask(const std::string& path, const Limits& limits) {
+    const auto address = addressOf(path);
+    if (!address) return std::nullopt;
+    Taken out;
+    out.giver.reset(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    const timeval most = timevalOf(limits.handoverMs);
+    if (out.giver.get() < 0 ||
+        setsockopt(out.giver.get(), SOL_SOCKET, SO_RCVTIMEO, &most, sizeof most) != 0 ||
+        connect(out.giver.get(), reinterpret_cast<const sockaddr*>(&*address), sizeof *address) != 0 ||
+        !sameUser(out.giver.get()))
+        return std::nullopt;
+    char names[kNamesBytes];
+    alignas(cmsghdr) char control[CMSG_SPACE(kMostSockets * sizeof(int))] = {};
+    iovec text{names, sizeof names};
+    msghdr message{};
+    message.msg_iov = &text;
+    message.msg_iovlen = 1;
+    message.msg_control = control;
+    message.msg_controllen = sizeof control;
+    ssize_t got = 0;
+    do got = recvmsg(out.giver.get(), &message, MSG_CMSG_CLOEXEC);
+    while (got < 0 && errno == EINTR);
+    std::vector<Descriptor> fds;
+    for (cmsghdr* head = CMSG_FIRSTHDR(&message); got > 0 && head != nullptr;
+         head = CMSG_NXTHDR(&message, head)) {
+        if (head->cmsg_level != SOL_SOCKET || head->cmsg_type != SCM_RIGHTS) continue;
+        for (std::size_t at = 0; at + sizeof(int) <= head->cmsg_len - CMSG_LEN(0); at += sizeof(int)) {
+            int fd = -1;
+            std::memcpy(&fd, CMSG_DATA(head) + at, sizeof fd);
+            fds.emplace_back(fd);
+        }
+    }
+    std::string name;
+    std::size_t next = 0;
+    for (ssize_t i = 0; i < got; ++i) {
+        if (names[i] != ' ') {
+            name += names[i];
+        } else if (next < fds.size()) {
+            out.sockets.insert_or_assign(std::exchange(name, {}), std::move(fds[next++]));
+        }
+    }
+    if (out.sockets.empty()) return std::nullopt;
+    return out;
+}
+
+Giver::Giver(event_base* base, std::string path, std::function<std::map<std::string, int>()> sockets,
+             std::function<void(bool)> aside, Counters& counters, Log& log)
+    : base_(base),
+      path_(std::move(path)),
+      sockets_(std::move(sockets)),
+      aside_(std::move(aside)),
+      counters_(counters),
+      log_(log) {}
+
+// Under a name of its own first, so that whoever asks meets one that listens or none.
+void Giver::listen() {
+    const std::string own = path_ + '.' + std::to_string(getpid());
+    const auto address = addressOf(own);
+    Descriptor fd(socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0));
+    (void)unlink(own.c_str());
+    if (!address || fd.get() < 0 ||
+        bind(fd.get(), reinterpret_cast<const sockaddr*>(&*address), sizeof *address) != 0 ||
+        ::listen(fd.get(), 4) != 0 || std::rename(own.c_str(), path_.c_str()) != 0) {
+        counters_.add("handover_off");
+        return log_.warn("handover", "cannot listen, a next process gets no sockets", {{"path", path_}});
+    }
+    asked_.reset();
+    listener_ = std::move(fd);
+    asked_.reset(event_new(
+        base_, listener_.get(), EV_READ | EV_PERSIST,
+        [](evutil_socket_t, short, void* self) { static_cast<Giver*>(self)->asked(); }, this));
+    event_add(asked_.get(), nullptr);
+}
+
+void Giver::asked() {
+    Descriptor taker(accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
+    if (taker.get() < 0) return;
+    if (taker_.get() >= 0 || !sameUser(taker.get()) || !give(taker.get(), sockets_())) {
+        counters_.add("handover_refused");
+        return log_.warn("handover", "asked for sockets, not given",
+                         {{"reason", taker_.get() >= 0 ? "another process has them" : "not one of ours"}});
+    }
+    counters_.add("handover_given");
+    log_.info("handover", "sockets given to a next process");
+    taker_ = std::move(taker);
+    heard_.reset(event_new(
+        base_, taker_.get(), EV_READ | EV_PERSIST,
+        [](evutil_socket_t, short, void* self) { static_cast<Giver*>(self)->heard(); }, this));
+    event_add(heard_.get(), nullptr);
+}
+
+void Giver::heard() {
+    char said = 0;
+    const ssize_t got = recv(taker_.get(), &said, 1, 0);
+    if (got < 0 && (errno == EAGAIN || errno == EINTR)) return;
+    if (got <= 0) return over();
+    if (said != kReady || std::exchange(isAside_, true)) return;
+    log_.info("handover", "the next process takes clients, this one steps aside");
+    aside_(true);
+}
+
+// The next process is gone. If it had taken over, clients would find nobody.
+void Giver::over() {
+    heard_.reset();
+    taker_.reset();
+    counters_.add("handover_over");
+    log_.warn("handover", "the next process is gone", {{"took_clients", isAside_}});
+    if (!std::exchange(isAside_, false)) return;
+    listen();
+    aside_(false);
+}
+
+}  // namespace martencove::handover
--- /dev/null
+++ b/src/handover/handover.h
@@ -0,0 +1,81 @@
+// From one process to the next on the same machine: the one that serves gives its sockets away, and steps
+// aside once the other takes clients. If that one ends, it takes clients again.
+#pragma once
+
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "core/counters.h"
+#include "core/limits.h"
+#include "net/log.h"
+#include "net/loop.h"
+
+namespace martencove::handover {
+
+/// A descriptor with an owner.
+class Descriptor {
+public:
+    explicit Descriptor(int fd = -1) : fd_(fd) {}
+    ~Descriptor() { reset(); }
+    Descriptor(Descriptor&& from) noexcept : fd_(from.release()) {}
+    Descriptor& operator=(Descriptor&& from) noexcept {
+        if (this != &from) reset(from.release());
+        return *this;
+    }
+    [[nodiscard]] int get() const { return fd_; }
+    [[nodiscard]] int release() { return std::exchange(fd_, -1); }
+    void reset(int fd = -1);
+
+private:
+    int fd_;
+};
+
+/// What a new process gets: sockets by their names, and the connection on which it says that it takes
+/// clients.
+struct Taken {
+    std::map<std::string, Descriptor> sockets;
+    Descriptor giver;
+
+    /// The socket of that name, whose owner the caller is from now on; -1: there is none.
+    [[nodiscard]] int take(const std::string& name);
+    /// Says so. The connection stays: its end tells the giver that this process is gone.
+    void ready() const;
+};
+
+/// Asks at `path` for the sockets of a process that serves. Nothing where none is there or it does not answer
+/// in time; waits for `limits.handoverMs` at most.
+[[nodiscard]] std::optional<Taken> ask(const std::string& path, const Limits& limits);
+
+class Giver {
+public:
+    /// `sockets`: by name, those that are open. `aside`: whether another process takes clients now.
+    Giver(event_base* base, std::string path, std::function<std::map<std::string, int>()> sockets,
+          std::function<void(bool aside)> aside, Counters& counters, Log& log);
+    Giver(const Giver&) = delete;
+    Giver& operator=(const Giver&) = delete;
+
+    /// Listens at its path from now on, in the place of whoever did.
+    void listen();
+
+private:
+    void asked();
+    void heard();
+    void over();
+
+    event_base* base_;
+    std::string path_;
+    std::function<std::map<std::string, int>()> sockets_;
+    std::function<void(bool)> aside_;
+    Counters& counters_;
+    Log& log_;
+    Descriptor listener_;
+    Descriptor taker_;  // one at a time
+    bool isAside_ = false;
+    Owned<event> asked_;
+    Owned<event> heard_;
+};
+
+}  // namespace martencove::handover
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -166,7 +166,7 @@
 bool HttpFront::Coming::rests() const { return !begun && !hasInput(buffers); }
 
 HttpFront::HttpFront(event_base* base, const Address& listen, Desk& desk, NodePool& pool,
-                     const limedrum::Site& site, const Limits& limits, Log& log)
+                     const limedrum::Site& site, const Limits& limits, Log& log, int listener)
     : base_(base),
       desk_(desk),
       pool_(pool),
@@ -181,7 +181,8 @@
     evhttp_set_timeout_tv(server_.get(), &idle);
     evhttp_set_gencb(server_.get(), requested, this);
     evhttp_set_bevcb(server_.get(), accepted, this);
-    socket_ = evhttp_bind_socket_with_handle(server_.get(), listen.host.c_str(), listen.port);
+    socket_ = listener >= 0 ? evhttp_accept_socket_with_handle(server_.get(), listener)
+                            : evhttp_bind_socket_with_handle(server_.get(), listen.host.c_str(), listen.port);
     if (socket_ == nullptr) throw std::runtime_error("listen: cannot bind " + listen.text());
     look_.start(limits.sweepMs);
 }
@@ -246,7 +247,15 @@
     if (!on) desk_.counters().add("client_crowd");
 }
 
+int HttpFront::listener() const { return socket_ == nullptr ? -1 : evhttp_bound_socket_get_fd(socket_); }
+
+void HttpFront::yield(bool on) {
+    yields_ = on;
+    on ? hold() : open();
+}
+
 void HttpFront::hold() {
+    if (socket_ == nullptr) return;
     evconnlistener_disable(evhttp_bound_socket_get_listener(socket_));
     onHold_ = true;
     accepting_ = false;
@@ -364,7 +373,8 @@
 
 void HttpFront::reply(evhttp_request* request, int code, const char* reason, std::string body) {
     // Near the bound a connection that rests is one that another client cannot have.
-    if (draining_ || evacuating() || connections_.size() + unheard_.size() > limits_.keptConnections)
+    if (draining_ || yields_ || evacuating() ||
+        connections_.size() + unheard_.size() > limits_.keptConnections)
         evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
     if (!body.empty()) {
         auto leaving = std::make_unique<Leaving>(std::move(body), desk_.counters());
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -19,8 +19,9 @@
 class HttpFront {
 public:
     /// Throws std::runtime_error where `listen` cannot be bound.
+    /// `listener`: a socket that listens there already; -1: it binds one.
     HttpFront(event_base* base, const Address& listen, Desk& desk, NodePool& pool, const limedrum::Site& site,
-              const Limits& limits, Log& log);
+              const Limits& limits, Log& log, int listener = -1);
     ~HttpFront();
     HttpFront(const HttpFront&) = delete;
     HttpFront& operator=(const HttpFront&) = delete;
@@ -29,6 +30,10 @@
     void page(const std::string& path, std::function<std::string()> text) { pages_[path] = std::move(text); }
     /// GET /healthz answers 503 until `ready` says yes.
     void readyWhen(std::function<bool()> ready) { ready_ = std::move(ready); }
+    /// Another process takes the new connections of the socket that both have, or no longer: each answer here
+    /// ends its connection.
+    void yield(bool on);
+    [[nodiscard]] int listener() const;
     /// New connections wait in the listener's queue until open().
     void hold();
     void open();
@@ -67,6 +72,7 @@
     const Limits& limits_;
     Log& log_;
     bool draining_ = false;
+    bool yields_ = false;
     std::optional<double> evacuatedMs_;  // since when
     bool accepting_ = true;
     bool onHold_ = false;
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -355,7 +355,8 @@
 
 void Front::FreeListener::operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
 
-Front::Front(event_base* base, NbdConfig config, Desk& desk, Pool& pool, const Limits& limits, Log& log)
+Front::Front(event_base* base, NbdConfig config, Desk& desk, Pool& pool, const Limits& limits, Log& log,
+             int listener)
     : base_(base),
       config_(std::move(config)),
       desk_(desk),
@@ -364,13 +365,16 @@
       log_(log),
       empty_(base, [this] { waste_.clear(); }) {
     const sockaddr_in address = config_.listen.socketAddress();
-    listener_.reset(evconnlistener_new_bind(base_, accepted, this,
-                                            LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
-                                            -1, reinterpret_cast<const sockaddr*>(&address), sizeof address));
+    constexpr unsigned kOptions = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE;
+    listener_.reset(listener >= 0 ? evconnlistener_new(base_, accepted, this, kOptions, 0, listener)
+                                  : evconnlistener_new_bind(base_, accepted, this, kOptions, -1,
+                                                            reinterpret_cast<const sockaddr*>(&address),
+                                                            sizeof address));
     if (!listener_) throw std::runtime_error("nbd listen: cannot bind " + config_.listen.text());
 }
 Front::~Front() = default;
 
+int Front::listener() const { return listener_ ? evconnlistener_get_fd(listener_.get()) : -1; }
 void Front::hold() { evconnlistener_disable(listener_.get()); }
 void Front::open() {
     if (listener_) evconnlistener_enable(listener_.get());
--- a/src/nbd/front.h
+++ b/src/nbd/front.h
@@ -19,11 +19,15 @@
 class Front {
 public:
     /// Throws std::runtime_error where the operator's address cannot be bound.
-    Front(event_base* base, NbdConfig config, Desk& desk, Pool& pool, const Limits& limits, Log& log);
+    /// `listener`: a socket that listens there already; -1: it binds one.
+    Front(event_base* base, NbdConfig config, Desk& desk, Pool& pool, const Limits& limits, Log& log,
+          int listener = -1);
     ~Front();
     Front(const Front&) = delete;
     Front& operator=(const Front&) = delete;
 
+    /// -1: closed.
+    [[nodiscard]] int listener() const;
     /// New connections wait in the listener's queue until open().
     void hold();
     void open();
--- a/src/net/peers.cpp
+++ b/src/net/peers.cpp
@@ -18,18 +18,28 @@
 }  // namespace
 
 Peers::Peers(event_base* base, const Address& listen, const std::vector<Address>& peers, const Limits& limits,
-             Counters& counters, Log& log, std::function<void(const PeerMessage&)> heard)
+             Counters& counters, Log& log, std::function<void(const PeerMessage&)> heard, int bound)
     : limits_(limits), counters_(counters), log_(log), heard_(std::move(heard)) {
+    if (bound >= 0) {
+        socket_ = bound;
+    } else {
+        bind(listen);
+    }
+    reach(peers);
+    event_.reset(event_new(base, socket_, EV_READ | EV_PERSIST, readable, this));
+    event_add(event_.get(), nullptr);
+}
+
+void Peers::yield(bool on) { on ? event_del(event_.get()) : event_add(event_.get(), nullptr); }
+
+void Peers::bind(const Address& listen) {
     socket_ = socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const sockaddr_in address = listen.socketAddress();
-    if (socket_ < 0 || bind(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
+    if (socket_ < 0 || ::bind(socket_, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0) {
         const int error = errno;
         if (socket_ >= 0) close(socket_);
         throw std::system_error(error, std::generic_category(), "peer_listen " + listen.text());
     }
-    reach(peers);
-    event_.reset(event_new(base, socket_, EV_READ | EV_PERSIST, readable, this));
-    event_add(event_.get(), nullptr);
 }
 
 Peers::~Peers() {
--- a/src/net/peers.h
+++ b/src/net/peers.h
@@ -19,13 +19,17 @@
 
 class Peers {
 public:
-    /// Throws std::system_error where `listen` cannot be bound.
+    /// `bound`: a socket that is bound there already; -1: it binds one. Throws std::system_error where
+    /// `listen` cannot be bound.
     Peers(event_base* base, const Address& listen, const std::vector<Address>& peers, const Limits& limits,
-          Counters& counters, Log& log, std::function<void(const PeerMessage&)> heard);
+          Counters& counters, Log& log, std::function<void(const PeerMessage&)> heard, int bound = -1);
     ~Peers();
     Peers(const Peers&) = delete;
     Peers& operator=(const Peers&) = delete;
 
+    /// Another process hears what comes on the socket that both have, or no longer.
+    void yield(bool on);
+    [[nodiscard]] int descriptor() const { return socket_; }
     void tell(const PeerMessage& message);
     /// Their addresses from now on.
     void reach(const std::vector<Address>& peers);
@@ -36,6 +40,7 @@
 
     /// Room for what all peers may send in a moment, as far as the system grants it.
     void makeRoom();
+    void bind(const Address& listen);
 
     std::vector<sockaddr_in> peers_;                  // by number
     std::unordered_map<std::uint64_t, int> numbers_;  // the same by address and port: the lowest of each
--- /dev/null
+++ b/tests/program/upgrade_test.cpp
@@ -0,0 +1,109 @@
+// Two processes of the program on one machine: sockets change hands, and no client meets a closed door.
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <unistd.h>
+
+#include "world.h"
+
+using namespace martencove::test;
+
+namespace {
+
+/// One process serves, another begins beside it, with the same configuration but another second address. Both
+/// worlds share a loop.
+struct Upgrade {
+    Upgrade()
+        : next(old.base.get()), node(old.base.get(), [this](Wire& wire, const HttpText& request) {
+              answering ? serve(wire, request) : void(held = &wire);
+          }) {
+        old.config["known"]["hosts"].push_back(old.entry("s-1", node.listener.address, 5, "ready"));
+        old.config["ops"] = ops[0].text();
+        old.shared = old.folder();
+        old.start();
+        next.config = old.config;
+        next.config["ops"] = ops[1].text();
+        next.listen = old.listen;
+        next.shared = old.folder();
+    }
+    int ready(int process) {
+        Wire wire(old.base.get(), ops[process]);
+        wire.send("GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n");
+        std::optional<HttpText> answer;
+        (void)old.until([&] { return (answer = takeHttp(wire.got)).has_value() || wire.closed; });
+        return answer ? answer->code() : 0;
+    }
+    /// Waits until the next one takes clients.
+    bool takesOver() {
+        return old.until([&] { return old.log.find("steps aside") != std::string::npos; });
+    }
+
+    martencove::Address ops[2] = {freeAddress(), freeAddress()};
+    bool answering = true;
+    Wire* held = nullptr;
+    World old;
+    World next;
+    HttpNode node;
+};
+
+}  // namespace
+
+TEST_CASE("upgrade: the next process takes the sockets, the old one finishes what it has") {
+    Upgrade t;
+    Wire& kept = t.old.connect();
+    kept.send(t.old.request("0000000000000001"));
+    REQUIRE(t.old.until([&] { return takeHttp(kept.got).has_value(); }));
+    t.answering = false;
+    Wire& busy = t.old.connect();
+    busy.send(t.old.request("0000000000000002"));
+    REQUIRE(t.old.until([&] { return t.held != nullptr; }));
+    t.answering = true;
+
+    t.next.start();
+    REQUIRE(t.takesOver());
+    CHECK(t.ready(1) == 200);
+    CHECK(t.ready(0) == 503);
+    // New connections are the next one's; kept ones are served once more by the old one, and end with that
+    // answer.
+    CHECK(t.old.ask(t.old.request("0000000000000003")).code() == 200);
+    std::optional<HttpText> answer;
+    kept.send(t.old.request("0000000000000004"));
+    REQUIRE(t.old.until([&] { return (answer = takeHttp(kept.got)).has_value(); }));
+    CHECK(answer->code() == 200);
+    CHECK(answer->header("Connection") == "close");
+
+    t.old.signal(SIGTERM);
+    t.held->send(httpReply(200, "by the old one"));
+    REQUIRE(t.old.until([&] { return (answer = takeHttp(busy.got)).has_value(); }));
+    CHECK(answer->body == "by the old one");
+    CHECK(t.old.end() == 0);
+    CHECK(t.old.log.find("request_taken=3") != std::string::npos);
+    CHECK(t.next.ask(t.next.request("0000000000000005")).code() == 200);
+    CHECK(t.next.running());
+    CHECK(t.next.end() == 0);
+}
+
+TEST_CASE("upgrade: a next process that dies gives the clients back, and another one can follow") {
+    Upgrade t;
+    t.next.start();
+    REQUIRE(t.takesOver());
+    CHECK(t.next.end(SIGKILL) == 128 + SIGKILL);
+    REQUIRE(t.old.until([&] { return t.ready(0) == 200; }));
+    const HttpText answer = t.old.ask(t.old.request("0000000000000001"));
+    CHECK(answer.code() == 200);
+    CHECK(answer.header("Connection").empty());
+    t.next.start();
+    REQUIRE(t.old.until([&] { return t.ready(1) == 200; }));
+    CHECK(t.old.end() == 0);
+    CHECK(t.next.ask(t.next.request("0000000000000002")).code() == 200);
+    CHECK(t.next.end() == 0);
+}
+
+// Guards against a start that waits for, or trips over, what a killed process left in the folder.
+TEST_CASE("upgrade: a process that was killed leaves nothing that keeps the next one from its start") {
+    Upgrade t;
+    CHECK(t.old.end(SIGKILL) == 128 + SIGKILL);
+    t.next.start();
+    CHECK(t.ready(1) == 200);
+    CHECK(t.next.ask(t.next.request("0000000000000001")).code() == 200);
+    CHECK(t.next.end() == 0);
+}
--- a/tests/program/world.cpp
+++ b/tests/program/world.cpp
@@ -51,7 +51,7 @@
 }
 
 pid_t spawn(const std::string& folder, const Json& config, const Json& extras,
-            const std::vector<std::string>& more = {}) {
+            const std::vector<std::string>& more = {}, const std::string& shared = {}) {
     std::ofstream(folder + "/config.json") << config;
     std::vector<std::string> words{"martencove"};
     words.insert(words.end(), more.begin(), more.end());
@@ -72,6 +72,7 @@
     dup2(out, 1);
     dup2(out, 2);
     setenv("NODE_CONFIG", (folder + "/config.json").c_str(), 1);
+    if (!shared.empty()) setenv("TMPDIR", shared.c_str(), 1);
     if (config.is_object() && config.contains("discovery"))
         setenv("NODE_DISCOVERY", config.at("discovery").get<std::string>().c_str(), 1);
     execv(MARTENCOVE_PROGRAM, argv.data());
@@ -261,7 +262,8 @@
     if (config["known"].is_object() && config["known"]["hosts"].is_array())
         for (const Json& host : config["known"]["hosts"])
             if (host.is_object() && host.contains("host")) hosts_.try_emplace(host["host"], host);
-    pid_ = spawn(folder_, config, {{"nbd", nbd}, {"etcd", etcd}, {"xds", xds}, {"nodes", nodes}}, arguments);
+    pid_ = spawn(folder_, config, {{"nbd", nbd}, {"etcd", etcd}, {"xds", xds}, {"nodes", nodes}}, arguments,
+                 shared);
     std::unique_ptr<Wire> health;
     const bool up = until([&] {
         if (whileStarting) whileStarting();
--- a/tests/program/world.h
+++ b/tests/program/world.h
@@ -127,6 +127,7 @@
     } base;
     Json config;
     Json nbd, etcd, xds, nodes;          ///< sections of the operator's file; null: not there
+    std::string shared;                  ///< the folder in TMPDIR; empty: none of its own
     std::vector<std::string> arguments;  ///< further ones on the command line
     Address listen, nbdListen, peerListen;
     std::string log;      ///< what the program wrote
