--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -199,7 +199,7 @@
         if (discovery_ && config_.limits.listPushed) open();
         log_.info("end", "finishing what was taken", {{"open", desk_.open()}});
         front_.drain();
-        end_.start(config_.limits.drainAcceptMs);
+        end_.start(aside_ ? 0 : config_.limits.drainAcceptMs);
     }
 
     void endSoon() {
@@ -207,8 +207,11 @@
         const Limits& limits = config_.limits;
         front_.close();
         if (nbdFront_) nbdFront_->close();
-        const bool quiet = passedMs >= limits.drainAcceptMs + limits.drainQuietMs && desk_.open() == 0 &&
-                           front_.quiet() && (!nbdFront_ || nbdFront_->quiet());
+        // Where another process has the listener, nothing new can come here, and the sooner this one is gone
+        // the sooner its clients turn to the other.
+        const double leastMs = aside_ ? 0 : limits.drainAcceptMs + limits.drainQuietMs;
+        const bool quiet =
+            passedMs >= leastMs && desk_.open() == 0 && front_.quiet() && (!nbdFront_ || nbdFront_->quiet());
         if (!quiet && passedMs < limits.drainMostMs) return end_.start(20);
         log_.info("end", "exits", {{"open", desk_.open()}});
         event_base_loopbreak(base_.get());
--- a/tests/program/upgrade_test.cpp
+++ b/tests/program/upgrade_test.cpp
@@ -77,7 +77,16 @@
     CHECK(answer->body == "by the old one");
     CHECK(t.old.end() == 0);
     CHECK(t.old.log.find("request_taken=3") != std::string::npos);
-    CHECK(t.next.ask(t.next.request("0000000000000005")).code() == 200);
+    // With the next one connections are kept as ever.
+    Wire& after = t.next.connect();
+    for (const char* id : {"0000000000000005", "0000000000000006"}) {
+        after.send(t.next.request(id));
+        REQUIRE(t.old.until([&] { return (answer = takeHttp(after.got)).has_value() || after.closed; }));
+        REQUIRE(answer);
+        CHECK(answer->code() == 200);
+        CHECK(answer->header("Connection").empty());
+        t.next.rest();
+    }
     CHECK(t.next.running());
     CHECK(t.next.end() == 0);
 }
