--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -78,6 +78,8 @@
     const std::size_t megabytes = count(part(json, "limits"), "memory_mb", 32, 16);
     limits.answersHeld = megabytes * 1024 * 1024 / 4;
     limits.answerBody = limits.answersHeld / 8;
+    // A list is decoded entry by entry: its text is what it costs.
+    limits.listBody = std::max(limits.listBody, megabytes * 1024 * 1024 / 8);
     // Clients hold more connections than nodes, which take several requests on each. No more than a scored
     // day allows at most.
     const std::size_t both = std::min<std::size_t>(limits.descriptors, 1024) - limits.spareDescriptors;
--- a/tests/program/list_test.cpp
+++ b/tests/program/list_test.cpp
@@ -211,6 +211,45 @@
     CHECK(bytes == 0);
 }
 
+// Guards against caps and costs that only a large fleet meets.
+TEST_CASE(
+    "size: 1,024 servers with long names and 1,024 peers: it starts, serves, and a drained server gets "
+    "nothing") {
+    World world;
+    HttpNode leaving(world.base.get(), serve), staying(world.base.get(), serve);
+    Json hosts = Json::array(), peers = Json::array({world.peerListen.text()});
+    const std::string longName(255, 'n');
+    for (int i = 0; i < 1024; ++i) {
+        const std::string name = std::to_string(i) + longName;
+        const HttpNode& node = i == 5 ? leaving : staying;
+        hosts.push_back(world.entry(name.substr(0, 255), node.listener.address, i, "ready"));
+        if (i > 0)
+            peers.push_back("127.1." + std::to_string(i / 256) + '.' + std::to_string(i % 256) + ":7946");
+    }
+    world.config["known"]["hosts"] = hosts;
+    world.config["peers"] = peers;
+    world.config["settings"]["Siblings"] = 1024;
+    world.config["settings"]["FamilyInfo"]["Shards"] = 1024;
+    world.start();
+    CHECK(world.counter("discovery_list") >= 1);
+    CHECK(world.counter("discovery_bad") + world.counter("node_not_kept") == 0);
+    const auto at = [&](const std::string& id, int shard) {
+        std::string text = world.request(id, "", 400);
+        const std::string own = "shard=5,";
+        return text.replace(text.find(own), own.size(), "shard=" + std::to_string(shard) + ',');
+    };
+    CHECK(world.ask(at("0000000000000001", 5)).code() == 200);
+    CHECK(leaving.requests.size() == 1);
+    CHECK(world.ask(at("0000000000000002", 1023)).code() == 200);
+    const int watches = world.watches;
+    world.tell(hosts[5]["host"], leaving.listener.address, 5, "draining");
+    REQUIRE(world.until([&] { return world.watches > watches; }));
+    CHECK(world.ask(at("0000000000000003", 5)).code() == 503);
+    CHECK(world.ask(at("0000000000000004", 6)).code() == 200);
+    CHECK(leaving.requests.size() == 1);
+    CHECK(world.end() == 0);
+}
+
 // Guards against datagrams lost for want of room or of turns: all peers bid at the same moment.
 TEST_CASE("peers: a burst of one datagram from each of 1,024 is heard whole") {
     World world;
