--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -105,7 +105,7 @@
         limits.watchWaitMs = std::min(limits.watchWaitMs, graceMs / 2);
         limits.watchGraceMs = std::min(limits.watchGraceMs, graceMs / 4);
         limits.list.leastMs = limits.list.mostMs = std::min(limits.list.leastMs, graceMs / 10);
-        limits.firstListMs = graceMs;
+        limits.firstListMs = graceMs * 2 / 5;
     }
     double longestMs = 0;
     for (const auto& c : out.site.module.classes) longestMs = std::max(longestMs, c.deadlineMs);
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -56,7 +56,9 @@
     bool listPushed = false;
     double watchWaitMs = 5000;   // how long discovery may hold a call
     double watchGraceMs = 2000;  // and how much later it counts as silent
-    double firstListMs = 1000;  // at a start, where it is pushed: clients wait for the first list for so long
+    // At a start, where it is pushed, clients wait for the first list for so long at most: an answer may come
+    // that much after its time, and a request is lost half a second after it.
+    double firstListMs = 400;
     // Discovery has room for so many calls and no more: where all schedulers' calls failed together and came
     // back 100 ms later, hardly any was ever served.
     double watchEachMs = 50;      // between two schedulers' calls: their number times this is
