Take back only attempts that wait, and keep a quarter of the clients' connections

Now those decided more than a tenth of the grace ago are withdrawn, and younger ones looked at once more after that time.

Ruled out: the end of the old process (sooner made no difference) and connections not taken (counters show all taken). Looking at each 0.1 s: up to 97 connections, pinned there, two thirds at rest.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -85,7 +85,8 @@
     const std::size_t both = std::min<std::size_t>(limits.descriptors, 1024) - limits.spareDescriptors;
     limits.nodeConnections = both * 2 / 5;
     limits.clientConnections = both - limits.nodeConnections;
-    limits.keptConnections = limits.clientConnections / 2;
+    // What rests here is room that clients lack for new ones, since they hold no more than so many either.
+    limits.keptConnections = limits.clientConnections / 4;
     limits.openRequests =
         std::min(limits.openRequests, static_cast<std::size_t>(std::max(1, out.site.openRequests)));
     limits.notTakenBackMs = out.site.module.maxRetryAfterMs;
@@ -98,6 +99,7 @@
     limits.list = rests(module.listOnRequest, module.rules.mustAskInMs);
     limits.etcd = rests(true, 0);
     limits.listPushed = !module.listOnRequest;
+    if (module.rules.drainGraceMs > 0) limits.withdrawMs = module.rules.drainGraceMs / 10;
     if (const double graceMs = module.rules.drainGraceMs; limits.listPushed && graceMs > 0) {
         // What an agent holds counts as told even while a call that it will never answer is out, so that such
         // a call, the rest after it (at most half as much again as its mean) and the next one end within the
--- a/src/core/desk.cpp
+++ b/src/core/desk.cpp
@@ -1,5 +1,6 @@
 #include "core/desk.h"
 
+#include <algorithm>
 #include <cmath>
 #include <string>
 #include <unordered_set>
@@ -63,21 +64,28 @@
 void Desk::learn(const NodeList& list) {
     remember(list);
     carryOut(facade_.report(nowMs(), list));
-    withdrawFrom(list);
+    leave(list);
 }
 
 // The rule on drains counts first bytes: an attempt that was decided before the list came may still wait for
-// its connection, for long if the loop stood still. It never ran, and its request goes on as the decisions
-// say.
-void Desk::withdrawFrom(const NodeList& list) {
+// its connection, or the loop stood still. One decided a moment ago goes out well within the grace: it is
+// looked at once more. What is taken back never ran, and its request goes on as the decisions say.
+void Desk::leave(const NodeList& list) {
     std::unordered_set<NodeId> leaving;
     for (const NodeEntry& node : list.nodes)
         if (node.state != NodeState::ready) leaving.insert(node.id);
     if (leaving.empty()) return;
+    const double now = nowMs();
+    withdrawFrom(leaving, now - limits_.withdrawMs);
+    if (std::any_of(held_.begin(), held_.end(), [](const auto& h) { return !h.second.out.empty(); }))
+        leaving_.emplace_back(now + limits_.withdrawMs, std::move(leaving));
+}
+
+void Desk::withdrawFrom(const std::unordered_set<NodeId>& leaving, double sentBeforeMs) {
     std::vector<AttemptName> back;
     for (const auto& [id, held] : held_)
         for (const auto& [number, out] : held.out)
-            if (leaving.contains(out.node)) back.push_back({id, number});
+            if (leaving.contains(out.node) && out.sentMs <= sentBeforeMs) back.push_back({id, number});
     for (const AttemptName& name : back) {
         const auto at = held_.find(name.id);
         if (at == held_.end() || !at->second.out.contains(name.number)) continue;
@@ -90,7 +98,15 @@
 
 void Desk::hear(const PeerMessage& message) { carryOut(facade_.report(nowMs(), message)); }
 
-void Desk::tick() { carryOut(facade_.tick(nowMs())); }
+void Desk::tick() {
+    carryOut(facade_.tick(nowMs()));
+    // The module asks for ticks as long as attempts are out.
+    while (!leaving_.empty() && leaving_.front().first <= nowMs()) {
+        const auto [dueMs, leaving] = std::move(leaving_.front());
+        leaving_.pop_front();
+        withdrawFrom(leaving, dueMs - limits_.withdrawMs);
+    }
+}
 
 std::vector<NodeView> Desk::view() const {
     std::vector<NodeView> out = facade_.view();
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -44,10 +44,11 @@
 
     // Times, in ms.
     double dialMs = 250;
-    double nodeIdleMs = 15000;     // a node closes a connection idle for this long
-    double nodeRestMs = 3;         // after an answer, before the next request on its connection
-    double idlePart = 0.6;         // of it: an idle connection is retired
-    double clientIdleMs = 2500;    // a client's connection without a request in work
+    double withdrawMs = 100;     // after word of a node's leaving: an attempt at it of which no byte has left
+    double nodeIdleMs = 15000;   // a node closes a connection idle for this long
+    double nodeRestMs = 3;       // after an answer, before the next request on its connection
+    double idlePart = 0.6;       // of it: an idle connection is retired
+    double clientIdleMs = 2500;  // a client's connection without a request in work
     double clientSilentMs = 2000;  // one that has not brought its first request
     double crowdedIdleMs = 1000;   // at the bound: an idle one may make room
     double crowdedSilentMs = 100;  // and a silent one
