--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -85,8 +85,7 @@
     const std::size_t both = std::min<std::size_t>(limits.descriptors, 1024) - limits.spareDescriptors;
     limits.nodeConnections = both * 2 / 5;
     limits.clientConnections = both - limits.nodeConnections;
-    // What rests here is room that clients lack for new ones, since they hold no more than so many either.
-    limits.keptConnections = limits.clientConnections / 4;
+    limits.keptConnections = limits.clientConnections / 2;
     limits.openRequests =
         std::min(limits.openRequests, static_cast<std::size_t>(std::max(1, out.site.openRequests)));
     limits.notTakenBackMs = out.site.module.maxRetryAfterMs;
