Share the buffers held of evhttp's connections, and the taking back of attempts

letGo() and the reference to a connection's buffers stood in both the clients' front and the second address, and withdraw() in both fronts' jobs; each is one piece of code now (net/loop.h, net/link_pool.h). Link::moved() asks once what it asked twice. Behaviour is as it was: the 77 program tests pass, plain; the sanitized build was not run again.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -49,12 +49,7 @@
 
     void cancel(int attempt) override { exchanges_.erase(attempt); }
 
-    bool withdraw(int attempt) override {
-        const auto at = exchanges_.find(attempt);
-        if (at == exchanges_.end() || at->second->begun()) return false;
-        exchanges_.erase(at);
-        return true;
-    }
+    bool withdraw(int attempt) override { return withdrawFrom(exchanges_, attempt); }
 
     void answer(const Answer& answer) override {
         if (request_ == nullptr) return;
@@ -144,13 +139,6 @@
            evbuffer_get_length(bufferevent_get_output(socket)) > 0;
 }
 
-/// Whether evhttp has closed a connection whose buffers are still held here.
-bool letGo(bufferevent* buffers) {
-    bufferevent_event_cb onEvent = nullptr;
-    bufferevent_getcb(buffers, nullptr, nullptr, &onEvent, nullptr);
-    return onEvent == nullptr;
-}
-
 void cameIn(evbuffer*, const evbuffer_cb_info* info, void* begun) {
     if (info->n_added > 0) *static_cast<bool*>(begun) = true;
 }
@@ -291,8 +279,7 @@
     bufferevent* buffers = bufferevent_socket_new(base, -1, 0);
     if (buffers == nullptr) return nullptr;
     bufferevent_incref(buffers);
-    self->unheard_[buffers] = {std::unique_ptr<bufferevent, Release>(buffers), self->desk_.nowMs(),
-                               std::make_unique<Coming>(buffers)};
+    self->unheard_[buffers] = {HeldBuffers(buffers), self->desk_.nowMs(), std::make_unique<Coming>(buffers)};
     if (self->crowded()) {  // before the next one in the queue is taken
         self->accept(false);
         self->look_.start(0);
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -99,11 +99,8 @@
     std::map<evhttp_connection*, Client> connections_;  // that have sent a request
     // Those that have not, since when. evhttp shows a connection only with its first request: a reference to
     // its buffers is held meanwhile, which evhttp's end of it leaves without callbacks.
-    struct Release {
-        void operator()(bufferevent* p) const { bufferevent_decref(p); }
-    };
     struct Unheard {
-        std::unique_ptr<bufferevent, Release> buffers;
+        HeldBuffers buffers;
         double sinceMs = 0;
         std::unique_ptr<Coming> coming;
     };
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -242,12 +242,7 @@
     }
 
     void cancel(int attempt) override { exchanges_.erase(attempt); }
-    bool withdraw(int attempt) override {
-        const auto at = exchanges_.find(attempt);
-        if (at == exchanges_.end() || at->second->begun()) return false;
-        exchanges_.erase(at);
-        return true;
-    }
+    bool withdraw(int attempt) override { return withdrawFrom(exchanges_, attempt); }
 
     void answer(const Answer& answer) override {
         Session* session = std::exchange(session_, nullptr);
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -75,8 +75,9 @@
 
 void Link::moved(evbuffer* buffer, const evbuffer_cb_info* info, void* arg) {
     auto* self = static_cast<Link*>(arg);
-    if (self->sent_ && info->n_deleted > 0) self->begun_ = true;
-    if (self->sent_ && info->n_deleted > 0 && evbuffer_get_length(buffer) == 0) self->written_ = true;
+    if (!self->sent_ || info->n_deleted == 0) return;
+    self->begun_ = true;
+    if (evbuffer_get_length(buffer) == 0) self->written_ = true;
 }
 
 void Link::read() {
--- a/src/net/link_pool.h
+++ b/src/net/link_pool.h
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <list>
+#include <map>
 #include <memory>
 #include <unordered_map>
 #include <utility>
@@ -36,6 +37,16 @@
     LinkPool<Wire>& pool_;
 };
 
+/// Gives up an attempt of which no byte has left, among those on their way; false: it is not there, or has
+/// begun.
+template <typename Wire>
+[[nodiscard]] bool withdrawFrom(std::map<int, std::unique_ptr<Exchange<Wire>>>& exchanges, int attempt) {
+    const auto at = exchanges.find(attempt);
+    if (at == exchanges.end() || at->second->begun()) return false;
+    exchanges.erase(at);
+    return true;
+}
+
 template <typename Wire>
 class LinkPool {
 public:
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -26,6 +26,12 @@
     return base;
 }
 
+bool letGo(bufferevent* buffers) {
+    bufferevent_event_cb onEvent = nullptr;
+    bufferevent_getcb(buffers, nullptr, nullptr, &onEvent, nullptr);
+    return onEvent == nullptr;
+}
+
 Timer::Timer(event_base* base, std::function<void()> then)
     : then_(std::move(then)), event_(owned(evtimer_new(base, callBack, &then_))) {}
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -22,6 +22,15 @@
 template <typename Handle>
 using Owned = std::unique_ptr<Handle, Freed>;
 
+/// A reference to the buffers of a connection that evhttp has. It shows a connection only with its first
+/// request, and its end of one leaves the buffers without callbacks.
+struct Released {
+    void operator()(bufferevent* p) const { bufferevent_decref(p); }
+};
+using HeldBuffers = std::unique_ptr<bufferevent, Released>;
+/// Whether evhttp has closed a connection whose buffers are still held.
+[[nodiscard]] bool letGo(bufferevent* buffers);
+
 /// Of the events of one turn of the loop those of a lower number come first.
 inline constexpr int kFirstPriority = 0;
 inline constexpr int kUsualPriority = 1;  // libevent gives it to all others: the middle of three
--- a/src/ops/front.cpp
+++ b/src/ops/front.cpp
@@ -9,13 +9,6 @@
 namespace martencove::ops {
 namespace {
 
-/// Whether evhttp has closed a connection whose buffers are still held here.
-bool letGo(bufferevent* buffers) {
-    bufferevent_event_cb onEvent = nullptr;
-    bufferevent_getcb(buffers, nullptr, nullptr, &onEvent, nullptr);
-    return onEvent == nullptr;
-}
-
 void answer(evhttp_request* request, bool yes, const char* allow = nullptr) {
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     evhttp_add_header(headers, "Connection", "close");
@@ -66,7 +59,7 @@
     // An answer is due whatever the load.
     bufferevent_priority_set(buffers, kFirstPriority);
     bufferevent_incref(buffers);
-    self->callers_.push_back({std::unique_ptr<bufferevent, Release>(buffers), self->clock_.nowMs()});
+    self->callers_.push_back({HeldBuffers(buffers), self->clock_.nowMs()});
     return buffers;
 }
 
--- a/src/ops/front.h
+++ b/src/ops/front.h
@@ -42,11 +42,8 @@
     Log& log_;
     // Connections by age, the oldest first. A reference to each one's buffers is held, which evhttp's end of
     // it leaves without callbacks.
-    struct Release {
-        void operator()(bufferevent* p) const { bufferevent_decref(p); }
-    };
     struct Caller {
-        std::unique_ptr<bufferevent, Release> buffers;
+        HeldBuffers buffers;
         double sinceMs = 0;
     };
     std::list<Caller> callers_;
