Keep a closed connection's descriptor until its buffers are freed: a request lost bytes

HttpFront::accepted holds a reference to the buffers of connections without a request (front.cpp); evhttp closes the descriptor of one that sent nonsense and frees its own reference, the buffers live on for up to 0.25 s with their read event, and the next connection gets the same number. Both read of it in the same turn, 4,096 bytes each: what fits in one read goes to the right one, the rest to the dead one.

Change: the buffers own their descriptor (BEV_OPT_CLOSE_ON_FREE, which evhttp heeds), so that its number is free only when they are, and buffers that evhttp has let go of read no more. The second address held buffers the same way.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -139,17 +139,21 @@
            evbuffer_get_length(bufferevent_get_output(socket)) > 0;
 }
 
-void cameIn(evbuffer*, const evbuffer_cb_info* info, void* begun) {
-    if (info->n_added > 0) *static_cast<bool*>(begun) = true;
-}
-
 }  // namespace
 
 HttpFront::Coming::Coming(bufferevent* b) : buffers(b) {
-    evbuffer_add_cb(bufferevent_get_input(buffers), cameIn, &begun);
+    evbuffer_add_cb(bufferevent_get_input(buffers), cameIn, this);
 }
 
-HttpFront::Coming::~Coming() { evbuffer_remove_cb(bufferevent_get_input(buffers), cameIn, &begun); }
+HttpFront::Coming::~Coming() { evbuffer_remove_cb(bufferevent_get_input(buffers), cameIn, this); }
+
+void HttpFront::Coming::cameIn(evbuffer*, const evbuffer_cb_info* info, void* arg) {
+    auto* self = static_cast<Coming*>(arg);
+    if (info->n_added == 0) return;
+    self->begun = true;
+    // What still comes after evhttp's end of the connection is nobody's: no more is read.
+    if (letGo(self->buffers)) bufferevent_disable(self->buffers, EV_READ);
+}
 
 bool HttpFront::Coming::rests() const { return !begun && !hasInput(buffers); }
 
@@ -276,7 +280,9 @@
 bufferevent* HttpFront::accepted(event_base* base, void* arg) {
     auto* self = static_cast<HttpFront*>(arg);
     self->desk_.counters().add("client_connection");
-    bufferevent* buffers = bufferevent_socket_new(base, -1, 0);
+    // The buffers keep their descriptor until they are freed. evhttp would else close it while they are held
+    // here and still read: the next connection has its number, and bytes of a request would go to them.
+    bufferevent* buffers = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     if (buffers == nullptr) return nullptr;
     bufferevent_incref(buffers);
     self->unheard_[buffers] = {HeldBuffers(buffers), self->desk_.nowMs(), std::make_unique<Coming>(buffers)};
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -88,6 +88,9 @@
 
         bufferevent* buffers;
         bool begun = false;
+
+    private:
+        static void cameIn(evbuffer*, const evbuffer_cb_info* info, void* self);
     };
     struct Client {
         HttpJob* job = nullptr;  // the request in work
--- a/src/ops/front.cpp
+++ b/src/ops/front.cpp
@@ -54,7 +54,7 @@
         self->callers_.pop_front();
         self->counters_.add("ops_crowd");
     }
-    bufferevent* buffers = bufferevent_socket_new(base, -1, 0);
+    bufferevent* buffers = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
     if (buffers == nullptr) return nullptr;
     // An answer is due whatever the load.
     bufferevent_priority_set(buffers, kFirstPriority);
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -385,6 +385,53 @@
     CHECK(t.world.ask(t.world.request("0000000000000001")).code() == 200);
 }
 
+// Guards against bytes that go to a connection which evhttp has closed: its buffers are held for a while, and
+// the next connection may have its descriptor. A request that takes more than one read shows it.
+TEST_CASE("http: what comes on a connection right after another was closed is read whole") {
+    World world;
+    HttpNode node(world.base.get(), serve);
+    world.config["known"]["hosts"].push_back(world.entry("s-1", node.listener.address, 5, "ready"));
+    world.start();
+    std::string bad;
+    SUBCASE("for a line that is no request") { bad = "NONSENSE\r\n\r\n"; }
+    SUBCASE("for a body that is too long") {
+        bad =
+            "PUT /write/00000003b4d60021/7f3a9c21e0b4d655 HTTP/1.1\r\nHost: b\r\nContent-Length: "
+            "99999999\r\n\r\nabc";
+    }
+    SUBCASE("for a head that is too long") { bad = "GET / HTTP/1.1\r\nA: " + std::string(80'000, 'a'); }
+    SUBCASE("by its client, half a request said") { bad = ""; }
+    for (int i = 0; i < 3; ++i) {
+        std::list<Wire> others;
+        for (int k = 0; k < 4; ++k) {
+            Wire& other = others.emplace_back(world.base.get(), world.listen);
+            other.send(bad.empty() ? "GET /read" : bad);
+        }
+        if (bad.empty()) {
+            (void)world.until([] { return false; }, 5);
+            for (Wire& other : others) other.close();
+            (void)world.until([] { return false; }, 2);
+        } else {
+            REQUIRE(world.until([&] {
+                return std::all_of(others.begin(), others.end(), [](const Wire& w) { return w.closed; });
+            }));
+        }
+        std::list<Wire> clients;
+        for (int k = 0; k < 4; ++k) {
+            Wire& client = clients.emplace_back(world.base.get(), world.listen);
+            char id[17];
+            std::snprintf(id, sizeof id, "%016x", static_cast<unsigned>(i * 4 + k + 1));
+            client.send(world.request(id, "", 5000, std::string(4800, 'x')));
+        }
+        for (Wire& client : clients) {
+            std::optional<HttpText> answer;
+            (void)world.until([&] { return (answer = takeHttp(client.got)) || client.closed; }, 1500);
+            REQUIRE(answer);  // evhttp would close it unanswered after 2.5 s
+            CHECK(answer->code() == 200);
+        }
+    }
+}
+
 TEST_CASE("a bad value in the configuration: one line that names the field, and no start") {
     const World world;
     const auto refused = [&](const std::string& field, const std::function<void(Json&)>& spoil) {
