Hear a list that an agent writes slowly and in pieces to its end

Change: a call whose answer had begun is followed by one with twice the time, up to 2 s; leavings that stand before the cut count at once, as they did. Calls that bring nothing keep their tenth. Where lists are asked for, the bound is 2 s as before.

Test: an indented list whose second half comes after 250 ms; without the change it was never heard in 8 s.

Weighed: time that begins anew with each piece, which an agent that drips without end would hold open past the grace.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -59,6 +59,7 @@
     double agentLateMs = 10;     // between a call to an agent that has an answer and that answer's end
     double watchWaitMs = 5000;   // how long discovery may hold a call
     double watchGraceMs = 2000;  // and how much later it counts as silent
+    double slowListMs = 2000;    // and at most, for an answer that comes in pieces
     // Before the call that follows a silent one, at most, where the list is one service for all hosts: what
     // the silent call missed counts as told when it is given up. 0: as after any failed call.
     double silentRestMs = 0;
--- a/src/net/list_watch.cpp
+++ b/src/net/list_watch.cpp
@@ -56,7 +56,7 @@
                 "&wait_ms=" + std::to_string(std::lround(limits_.watchWaitMs));
     counters_.add("discovery_call");
     calledMs_ = clock_.nowMs();
-    silence_.start((whole_ ? 0 : limits_.watchWaitMs) + limits_.watchGraceMs);
+    silence_.start((whole_ ? 0 : limits_.watchWaitMs) + lateMs());
     if (evhttp_make_request(connection_.get(), request, EVHTTP_REQ_GET, path.c_str()) != 0)
         fail("discovery_failed", "no connection", false);
 }
@@ -90,11 +90,19 @@
     if (!next.failed) {
         self->rest_.reset();
         self->failed_ = 0;
+        self->slow_ = 0;
         self->heardMs_ = self->clock_.nowMs();
     }
     if (self->retired_ || next.failed) self->next(next.failed ? self->restMs(false) : 0);
 }
 
+// An answer that has begun and comes slowly is no silence: given up for good, a long list would never be
+// heard. Each further call has twice the time; what came of the one before has been looked at meanwhile.
+double ListWatch::lateMs() const {
+    return std::min(std::ldexp(limits_.watchGraceMs, slow_),
+                    std::max(limits_.watchGraceMs, limits_.slowListMs));
+}
+
 // Of an agent on this machine, which answers at once, the rest has its part of the grace. A service for all
 // hosts is spared, but for one call soon after a silence: what the silent call missed counts as told
 // before long.
@@ -115,7 +123,10 @@
         [](evutil_socket_t, short, void* c) { evhttp_connection_free(static_cast<evhttp_connection*>(c)); },
         connection_.release(), nullptr);
     const std::string text = std::exchange(body_, {});
-    if (!text.empty()) (void)told_(*this, text, true);
+    if (!text.empty()) {
+        (void)told_(*this, text, true);
+        slow_ = std::min(slow_ + 1, 30);
+    }
     // An agent is asked for all that it holds: that is answered at once or not at all, while a call that may
     // be held shows its silence late.
     if (limits_.listPushed) whole_ = true;
--- a/src/net/list_watch.h
+++ b/src/net/list_watch.h
@@ -51,6 +51,7 @@
     void call();
     void fail(const char* counter, const char* message, bool silent);
     [[nodiscard]] double restMs(bool silent);
+    [[nodiscard]] double lateMs() const;
     void next(double ms);
 
     event_base* base_;
@@ -70,6 +71,7 @@
     double calledMs_ = heardMs_;
     Backoff rest_;    // between failed calls
     int failed_ = 0;  // calls since the last good answer
+    int slow_ = 0;    // and of these, those whose answer had begun
     Timer next_;
     Timer silence_;
 };
--- a/tests/program/list_test.cpp
+++ b/tests/program/list_test.cpp
@@ -170,6 +170,53 @@
 
 }  // namespace
 
+// Guards against a list that is given up each time before it is whole: its second half comes when a call to
+// an agent that says nothing would be over.
+TEST_CASE("list: an agent that writes a list slowly and in pieces is heard to its end") {
+    Fleet t(false);
+    const std::string text = Json{{"seq", 3},
+                                  {"whole", true},
+                                  {"hosts",
+                                   {t.world.entry("s-1", t.node.listener.address, 5, "draining"),
+                                    t.world.entry("s-2", t.node.listener.address, 6, "ready")}}}
+                                 .dump(4);
+    const std::string answer = httpReply(200, text);
+    struct Half {
+        Wire* wire;
+        std::chrono::steady_clock::time_point due;
+    };
+    std::list<Half> halves;
+    Listener agent(t.world.base.get(), [&](Wire& wire) {
+        const auto call = takeHttp(wire.got);
+        if (!call || call->line().find('?') != std::string::npos) return;  // a watch has no news
+        wire.send(answer.substr(0, answer.find("s-2")));
+        halves.push_back({&wire, std::chrono::steady_clock::now() + std::chrono::milliseconds(250)});
+    });
+    const auto finish = [&] {
+        std::erase_if(halves, [&](const Half& half) {
+            if (half.wire->closed) return true;
+            if (std::chrono::steady_clock::now() < half.due) return false;
+            half.wire->send(answer.substr(answer.find("s-2")));
+            return true;
+        });
+    };
+    t.world.config["discovery"] = agent.address.text();
+    t.world.whileStarting = finish;
+    t.world.start();
+    const auto heard = [&] {
+        finish();
+        return t.world.log.find("heard_before_ms") != std::string::npos;
+    };
+    REQUIRE(t.world.until(heard));
+    CHECK(t.refused("0000000000000001"));  // what stands before the cut counts at once
+    const auto whole = [&] {
+        finish();
+        return t.world.counter("discovery_list") > 0;
+    };
+    CHECK(t.world.until(whole, 8000));
+    CHECK(t.node.requests.empty());
+}
+
 // Guards against a grace that is given out twice: to the call that fell silent, and whole to the next.
 TEST_CASE("list: two silent calls one after the other leave time for a third within the grace") {
     Fleet t(false);
