--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -89,6 +89,8 @@
     limits.openRequests =
         std::min(limits.openRequests, static_cast<std::size_t>(std::max(1, out.site.openRequests)));
     limits.notTakenBackMs = out.site.module.maxRetryAfterMs;
+    if (!(out.site.dialMs > 0)) complain("DialTimeoutMs", "not above 0");
+    if (!(out.site.nodeIdleMs >= 0)) complain("ConnIdleMs", "below 0");
     limits.dialMs = out.site.dialMs;
     limits.nodeIdleMs = out.site.nodeIdleMs;
     const limedrum::Settings& module = out.site.module;
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -447,6 +447,9 @@
     refused("settings: missing", [](Json& c) { c.erase("settings"); });
     refused("DeadlineMs", [](Json& c) { c["settings"]["Classes"][0].erase("DeadlineMs"); });
     refused("settings: classes.aimMs", [](Json& c) { c["settings"]["Classes"][0]["AimMs"] = -1; });
+    refused("DialTimeoutMs", [](Json& c) { c["settings"]["Limits"]["DialTimeoutMs"] = 0; });
+    refused("ConnIdleMs", [](Json& c) { c["settings"]["Limits"]["ConnIdleMs"] = -1; });
+    refused("settings: rules.drainGraceMs", [](Json& c) { c["settings"]["Rules"]["DrainGraceMs"] = -1; });
     refused("sockets", [](Json& c) { c["limits"]["sockets"] = 3; });
     refused("known", [](Json& c) { c["known"] = 5; });
     refused("peers", [](Json& c) { c["peers"] = {"x"}; });
