Make buffers that are held of evhttp's connections in one place

Cause: the second address and the HTTP front each made buffers with the option that keeps their descriptor, took a reference and handed it to HeldBuffers; the reason stood at one of the two, and a third place would have missed it.

Change: heldBuffers() in net/loop does all three, with the reason. Nothing else moves. The program's tests pass (plain build).

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -280,12 +280,10 @@
 bufferevent* HttpFront::accepted(event_base* base, void* arg) {
     auto* self = static_cast<HttpFront*>(arg);
     self->desk_.counters().add("client_connection");
-    // The buffers keep their descriptor until they are freed. evhttp would else close it while they are held
-    // here and still read: the next connection has its number, and bytes of a request would go to them.
-    bufferevent* buffers = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-    if (buffers == nullptr) return nullptr;
-    bufferevent_incref(buffers);
-    self->unheard_[buffers] = {HeldBuffers(buffers), self->desk_.nowMs(), std::make_unique<Coming>(buffers)};
+    HeldBuffers held = heldBuffers(base);
+    if (!held) return nullptr;
+    bufferevent* buffers = held.get();
+    self->unheard_[buffers] = {std::move(held), self->desk_.nowMs(), std::make_unique<Coming>(buffers)};
     if (self->crowded()) {  // before the next one in the queue is taken
         self->accept(false);
         self->look_.start(0);
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -26,6 +26,12 @@
     return base;
 }
 
+HeldBuffers heldBuffers(event_base* base) {
+    bufferevent* buffers = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
+    if (buffers != nullptr) bufferevent_incref(buffers);
+    return HeldBuffers(buffers);
+}
+
 bool letGo(bufferevent* buffers) {
     bufferevent_event_cb onEvent = nullptr;
     bufferevent_getcb(buffers, nullptr, nullptr, &onEvent, nullptr);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -28,6 +28,10 @@
     void operator()(bufferevent* p) const { bufferevent_decref(p); }
 };
 using HeldBuffers = std::unique_ptr<bufferevent, Released>;
+/// Buffers for a connection that evhttp is about to have, and a reference to them; null: no memory. They keep
+/// their descriptor until they are freed. evhttp would else close it while they are held here and still read:
+/// the next connection has its number, and bytes of a request would go to them.
+[[nodiscard]] HeldBuffers heldBuffers(event_base* base);
 /// Whether evhttp has closed a connection whose buffers are still held.
 [[nodiscard]] bool letGo(bufferevent* buffers);
 
--- a/src/ops/front.cpp
+++ b/src/ops/front.cpp
@@ -54,12 +54,12 @@
         self->callers_.pop_front();
         self->counters_.add("ops_crowd");
     }
-    bufferevent* buffers = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-    if (buffers == nullptr) return nullptr;
+    HeldBuffers held = heldBuffers(base);
+    if (!held) return nullptr;
+    bufferevent* buffers = held.get();
     // An answer is due whatever the load.
     bufferevent_priority_set(buffers, kFirstPriority);
-    bufferevent_incref(buffers);
-    self->callers_.push_back({HeldBuffers(buffers), self->clock_.nowMs()});
+    self->callers_.push_back({std::move(held), self->clock_.nowMs()});
     return buffers;
 }
 
