Pass over signals that come while the program takes itself down: it ended with 143

Seen in the plain suite, once in two runs: 'upgrade: the next process takes the sockets' sends SIGTERM twice and got exit code 143 instead of 0. libevent puts the signal's default action back when the watch is gone (SignalWatch's event, freed in Program's destructor), and the second SIGTERM came between that and the exit. Nothing taken is lost by it, since the loop is over then, but a supervisor reads a crash. The log's last line and the counters were there, which rules out an end within the loop. A watch now leaves the signal passed over. Not taken: a mask for the main thread, as a signal may go to any thread.

--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,6 +1,7 @@
 #include "net/loop.h"
 
 #include <algorithm>
+#include <csignal>
 #include <new>
 
 namespace martencove {
@@ -50,6 +51,9 @@
 
 SignalWatch::SignalWatch(event_base* base, int signal, std::function<void()> then)
     : then_(std::move(then)), event_(owned(evsignal_new(base, signal, callBack, &then_))) {
+    // What libevent puts back when the watch is gone: a signal that is repeated while the program takes
+    // itself down must not end it in the middle, as the default action would.
+    std::signal(signal, SIG_IGN);
     evsignal_add(event_.get(), nullptr);
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -63,7 +63,7 @@
     Owned<event> event_;
 };
 
-/// Calls back at a signal.
+/// Calls back at a signal, which is passed over once the watch is gone.
 class SignalWatch {
 public:
     SignalWatch(event_base* base, int signal, std::function<void()> then);
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -1,6 +1,8 @@
 // The platform's front: the program between HTTP clients, nodes and discovery.
 #include <doctest/doctest.h>
 #include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
 
 #include <algorithm>
 
@@ -233,6 +235,24 @@
     CHECK(t.world.log.find("end: exits open=0") != std::string::npos);
 }
 
+// Guards against the signal's default action, which a program that takes itself down would meet: the exit
+// code of one that is told twice would be 143.
+TEST_CASE("SIGTERM: a signal that comes after its watch is gone ends nothing") {
+    const pid_t child = fork();
+    REQUIRE(child >= 0);
+    if (child == 0) {
+        const auto base = martencove::makeBase();
+        {
+            const martencove::SignalWatch watch(base.get(), SIGTERM, [] {});
+        }
+        raise(SIGTERM);
+        _exit(0);
+    }
+    int status = -1;
+    REQUIRE(waitpid(child, &status, 0) == child);
+    CHECK(WIFEXITED(status));
+}
+
 // Guards against a request lost whose headers had been read: evhttp has them, and the connection looks idle.
 TEST_CASE("SIGTERM: a request whose headers have come on a kept connection is still taken and answered") {
     OneNode t;
