Keep the tests' free addresses bound, so that no stand-in gets the program's port

The plain suite failed once on 'files: the log as JSON lines' (inForce(1) false for 20 s, then 1.87 million lines 'accept: Too many open files' from the test's own process). freeAddress() closed its socket before the program bound the port, so a stand-in node created after it could get that port: it answered the test's /healthz with 200 and took 20,000 connections, while the program had ended since it could not bind. Ruled out: the program's descriptors (its limit and its log show none). A FreeAddress stays bound, without listening, for as long as it is used; the program may bind it too (SO_REUSEADDR), the system gives it to nobody else.

--- a/tests/ops/ops_test.cpp
+++ b/tests/ops/ops_test.cpp
@@ -28,7 +28,7 @@
     int health() { return world.ask("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n").code(); }
 
     World world;
-    const martencove::Address ops = freeAddress();
+    const FreeAddress ops;
     bool answering = true;
     Wire* held = nullptr;
     HttpNode node;
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -101,7 +101,8 @@
     CHECK(t.world.counter("attempt_turned_away") == 1);
     CHECK(t.world.counter("attempt_error") == 1);
     const int watches = t.world.watches;
-    t.world.tell("s-1", freeAddress(), 5);
+    const FreeAddress nobody;
+    t.world.tell("s-1", nobody, 5);
     REQUIRE(t.world.until([&] { return t.world.watches > watches; }));
     // A node to which no connection comes up has run nothing: the answer says that a repeat is harmless.
     const HttpText answer = t.world.ask(t.world.request("0000000000000002", "", 300));
--- a/tests/program/list_test.cpp
+++ b/tests/program/list_test.cpp
@@ -221,7 +221,8 @@
 TEST_CASE("list: without a grace, failed calls to the agent rest between each other") {
     Fleet t(false);
     t.world.config["settings"]["Rules"].erase("DrainGraceMs");
-    t.world.config["discovery"] = freeAddress().text();
+    const FreeAddress nobody;
+    t.world.config["discovery"] = nobody.text();
     t.world.start();
     (void)t.world.until([] { return false; }, 500);
     CHECK(t.world.counter("discovery_failed") > 0);
--- a/tests/program/upgrade_test.cpp
+++ b/tests/program/upgrade_test.cpp
@@ -37,7 +37,7 @@
         return old.until([&] { return old.log.find("steps aside") != std::string::npos; });
     }
 
-    martencove::Address ops[2] = {freeAddress(), freeAddress()};
+    FreeAddress ops[2];
     bool answering = true;
     Wire* held = nullptr;
     World old;
--- a/tests/program/world.cpp
+++ b/tests/program/world.cpp
@@ -174,21 +174,23 @@
     wire.send(httpReply(200, "made for " + request.header("Req-Id") + ":" + request.body));
 }
 
-Address freeAddress() {
-    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+// The program may bind it too, as both allow it and this one does not listen.
+FreeAddress::FreeAddress() : fd_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const int on = 1;
+    setsockopt(fd_, SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
     const sockaddr_in any = Address{"127.0.0.1", 0}.socketAddress();
-    bind(fd, reinterpret_cast<const sockaddr*>(&any), sizeof any);
-    const Address out = addressOf(fd);
-    close(fd);
-    return out;
+    bind(fd_, reinterpret_cast<const sockaddr*>(&any), sizeof any);
+    Address::operator=(addressOf(fd_));
+}
+FreeAddress::~FreeAddress() { close(fd_); }
+FreeAddress& FreeAddress::operator=(const FreeAddress& other) {
+    Address::operator=(other);
+    return *this;
 }
 
 World::World(event_base* shared)
     : ownBase(shared == nullptr ? makeBase() : nullptr),
       base{shared == nullptr ? ownBase.get() : shared},
-      listen(freeAddress()),
-      nbdListen(freeAddress()),
-      peerListen(freeAddress()),
       discovery_(base.get(),
                  [this](Wire& wire) {
                      while (const auto call = takeHttp(wire.got)) {
--- a/tests/program/world.h
+++ b/tests/program/world.h
@@ -22,6 +22,18 @@
 
 using Json = nlohmann::json;
 
+/// An address that nothing listens on but the program, if it is told to: its port is bound here meanwhile, so
+/// that the system gives it to no other listener and no connection.
+struct FreeAddress : Address {
+    FreeAddress();
+    ~FreeAddress();
+    FreeAddress(const FreeAddress&) = delete;
+    FreeAddress& operator=(const FreeAddress& other);  ///< the same address, which the other one keeps free
+
+private:
+    int fd_ = -1;
+};
+
 /// A connection that keeps all that came.
 class Wire {
 public:
@@ -129,7 +141,7 @@
     Json nbd, etcd, xds, nodes;          ///< sections of the operator's file; null: not there
     std::string shared;                  ///< the folder in TMPDIR; empty: none of its own
     std::vector<std::string> arguments;  ///< further ones on the command line
-    Address listen, nbdListen, peerListen;
+    FreeAddress listen, nbdListen, peerListen;
     std::string log;      ///< what the program wrote
     int watches = 0;      ///< calls that discovery got
     std::string watched;  ///< the last one's first line
@@ -163,8 +175,6 @@
     int exit_ = -1;
 };
 
-/// A port that nothing listens on.
-[[nodiscard]] Address freeAddress();
 /// The exit code and standard error of the program, for settings that it should not take.
 [[nodiscard]] std::pair<int, std::string> runOnce(const Json& config, const Json& nbd = {},
                                                   const Json& etcd = {});
--- a/tests/program/xds_test.cpp
+++ b/tests/program/xds_test.cpp
@@ -55,7 +55,7 @@
 
 TEST_CASE("endpoints over ADS: what is chosen, what drains, what goes") {
     World world;
-    const martencove::Address first = freeAddress(), second = freeAddress(), listen = freeAddress();
+    const FreeAddress first, second, listen;
     world.config["known"]["hosts"] = {world.entry("s-1", first, 5, "ready"),
                                       world.entry("s-2", second, 5, "ready")};
     world.xds = {{"listen", listen.text()}};
