--- a/include/limedrum/scheduler.h
+++ b/include/limedrum/scheduler.h
@@ -208,6 +208,13 @@
     /// that they were taken with. Throws like the constructor, and nothing has changed.
     void retune(Settings settings);
 
+    /// What was learned, for an instance that follows this one under the same number, and its levels of
+    /// limits, which are no longer here.
+    [[nodiscard]] std::string handOver(double nowMs);
+    /// Goes on with it, for the nodes that are listed here. False: it is torn, stale or of another form, and
+    /// nothing has changed.
+    [[nodiscard]] bool takeOver(double nowMs, const std::string& text);
+
     /// All nodes of the list that are not gone, by their numbers.
     [[nodiscard]] std::vector<NodeView> view() const;
 
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -87,7 +87,8 @@
                          clock_, config_.limits, counters_, log_);
         if (!sharedFolder().empty())
             giver_.emplace(
-                base_.get(), handoverPath(), [this] { return sockets(); }, [this](bool on) { stepAside(on); },
+                base_.get(), handoverPath(), [this] { return sockets(); },
+                [this] { return facade_.handOver(clock_.nowMs()); }, [this](bool on) { stepAside(on); },
                 counters_, log_);
         if (discovery_ && config_.limits.listPushed) {
             front_.hold();
@@ -184,7 +185,14 @@
     void open() {
         if (std::exchange(opened_, true)) return;
         open_.stop();
-        if (taken_) taken_->ready();
+        if (taken_) {
+            // After the first list, which says of which nodes it is.
+            const bool whole = facade_.takeOver(clock_.nowMs(), taken_->memory);
+            counters_.add(whole ? "handover_learned" : "handover_fresh");
+            log_.info("handover", whole ? "goes on with what the other process has learned" : "learns anew",
+                      {{"bytes", taken_->memory.size()}});
+            taken_->ready();
+        }
         if (giver_) giver_->listen();
         if (!discovery_ || !config_.limits.listPushed) return;  // it never held
         if (!discovery_->heard()) {
--- a/src/core/facade.h
+++ b/src/core/facade.h
@@ -30,6 +30,12 @@
     /// The settings are others from now on; requests keep the classes and attempts that they were taken with.
     /// Throws std::invalid_argument, and nothing has changed.
     void retune(limedrum::Settings settings) { scheduler_.retune(std::move(settings)); }
+    /// What was learned, for a process that follows this one; parts of limits are no longer here.
+    [[nodiscard]] std::string handOver(double nowMs) { return scheduler_.handOver(nowMs); }
+    /// Goes on with it. False: it cannot be read whole, or is too old, and nothing has changed.
+    [[nodiscard]] bool takeOver(double nowMs, const std::string& text) {
+        return scheduler_.takeOver(nowMs, text);
+    }
     /// Time has passed.
     [[nodiscard]] Todo tick(double nowMs);
     /// When tick() is due next.
--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -4,9 +4,12 @@
 #include <sys/un.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <charconv>
 #include <cstdio>
 #include <cstring>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -16,6 +19,10 @@
 constexpr std::size_t kMostSockets = 8;
 constexpr std::size_t kNamesBytes = 256;
 constexpr char kReady = 'r';
+// Among the names, without a descriptor: what was learned follows behind the end of the line, as its length,
+// a line's end and the text. One that does not know it passes it over.
+constexpr std::string_view kMemory = "memory";
+constexpr std::size_t kMemoryBytes = 192 * 1024;  // what a socket takes that nobody reads yet
 
 std::optional<sockaddr_un> addressOf(const std::string& path) {
     sockaddr_un out{};
@@ -25,14 +32,15 @@
     return out;
 }
 
-/// The names, each with a blank behind it, and the descriptors in their order.
-bool give(int to, const std::map<std::string, int>& sockets) {
+/// The names, each with a blank behind it, and the descriptors in their order; then the memory.
+bool give(int to, const std::map<std::string, int>& sockets, const std::string& memory) {
     std::string names;
     std::vector<int> fds;
     for (const auto& [name, fd] : sockets) {
         names += name + ' ';
         fds.push_back(fd);
     }
+    names += std::string(kMemory) + " \n";
     if (fds.empty() || fds.size() > kMostSockets || names.size() > kNamesBytes) return false;
     alignas(cmsghdr) char control[CMSG_SPACE(kMostSockets * sizeof(int))] = {};
     iovec text{names.data(), names.size()};
@@ -46,7 +54,34 @@
     head->cmsg_type = SCM_RIGHTS;
     head->cmsg_len = CMSG_LEN(fds.size() * sizeof(int));
     std::memcpy(CMSG_DATA(head), fds.data(), fds.size() * sizeof(int));
-    return sendmsg(to, &message, MSG_NOSIGNAL | MSG_DONTWAIT) == static_cast<ssize_t>(names.size());
+    if (sendmsg(to, &message, MSG_NOSIGNAL | MSG_DONTWAIT) != static_cast<ssize_t>(names.size()))
+        return false;
+    // A part of it is none to the other one: it begins without.
+    const std::string sent = memory.size() > kMemoryBytes ? "" : memory;
+    const std::string told = std::to_string(sent.size()) + '\n' + sent;
+    (void)!send(to, told.data(), told.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    return true;
+}
+
+/// The memory, of which `got` has come already; empty where it is cut off or takes longer than the socket
+/// waits.
+std::string readMemory(int from, std::string got) {
+    std::size_t length = 0, begins = 0;
+    for (;;) {
+        const std::size_t end = got.find('\n');
+        if (end != got.npos && begins == 0) {
+            const auto [next, error] = std::from_chars(got.data(), got.data() + end, length);
+            if (error != std::errc{} || next != got.data() + end || length > kMemoryBytes) return "";
+            begins = end + 1;
+        }
+        if (begins > 0 && got.size() >= begins + length) return got.substr(begins, length);
+        if (begins == 0 && got.size() > 20) return "";  // no length is so long
+        char more[16 * 1024];
+        const ssize_t read = recv(from, more, sizeof more, 0);
+        if (read < 0 && errno == EINTR) continue;
+        if (read <= 0) return "";
+        got.append(more, static_cast<std::size_t>(read));
+    }
 }
 
 bool sameUser(int connection) {
@@ -101,24 +136,35 @@
             fds.emplace_back(fd);
         }
     }
+    const std::string_view all(names, static_cast<std::size_t>(std::max<ssize_t>(got, 0)));
+    const std::string_view line = all.substr(0, all.find('\n'));
     std::string name;
     std::size_t next = 0;
-    for (ssize_t i = 0; i < got; ++i) {
-        if (names[i] != ' ') {
-            name += names[i];
+    bool memory = false;
+    for (const char c : line) {
+        if (c != ' ') {
+            name += c;
+        } else if (name == kMemory) {
+            memory = true;
+            name.clear();
         } else if (next < fds.size()) {
             out.sockets.insert_or_assign(std::exchange(name, {}), std::move(fds[next++]));
         }
     }
     if (out.sockets.empty()) return std::nullopt;
+    if (memory)
+        out.memory =
+            readMemory(out.giver.get(), std::string(all.substr(std::min(all.size(), line.size() + 1))));
     return out;
 }
 
 Giver::Giver(event_base* base, std::string path, std::function<std::map<std::string, int>()> sockets,
-             std::function<void(bool)> aside, Counters& counters, Log& log)
+             std::function<std::string()> memory, std::function<void(bool)> aside, Counters& counters,
+             Log& log)
     : base_(base),
       path_(std::move(path)),
       sockets_(std::move(sockets)),
+      memory_(std::move(memory)),
       aside_(std::move(aside)),
       counters_(counters),
       log_(log) {}
@@ -146,7 +192,7 @@
 void Giver::asked() {
     Descriptor taker(accept4(listener_.get(), nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK));
     if (taker.get() < 0) return;
-    if (taker_.get() >= 0 || !sameUser(taker.get()) || !give(taker.get(), sockets_())) {
+    if (taker_.get() >= 0 || !sameUser(taker.get()) || !give(taker.get(), sockets_(), memory_())) {
         counters_.add("handover_refused");
         return log_.warn("handover", "asked for sockets, not given",
                          {{"reason", taker_.get() >= 0 ? "another process has them" : "not one of ours"}});
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -33,10 +33,11 @@
     int fd_;
 };
 
-/// What a new process gets: sockets by their names, and the connection on which it says that it takes
-/// clients.
+/// What a new process gets: sockets by their names, what the other one has learned, and the connection on
+/// which it says that it takes clients.
 struct Taken {
     std::map<std::string, Descriptor> sockets;
+    std::string memory;  ///< empty: none came, or not whole
     Descriptor giver;
 
     /// The socket of that name, whose owner the caller is from now on; -1: there is none.
@@ -51,9 +52,11 @@
 
 class Giver {
 public:
-    /// `sockets`: by name, those that are open. `aside`: whether another process takes clients now.
+    /// `sockets`: by name, those that are open. `memory`: what was learned, which is the next process's once
+    /// it is asked for. `aside`: whether another process takes clients now.
     Giver(event_base* base, std::string path, std::function<std::map<std::string, int>()> sockets,
-          std::function<void(bool aside)> aside, Counters& counters, Log& log);
+          std::function<std::string()> memory, std::function<void(bool aside)> aside, Counters& counters,
+          Log& log);
     Giver(const Giver&) = delete;
     Giver& operator=(const Giver&) = delete;
 
@@ -68,6 +71,7 @@
     event_base* base_;
     std::string path_;
     std::function<std::map<std::string, int>()> sockets_;
+    std::function<std::string()> memory_;
     std::function<void(bool)> aside_;
     Counters& counters_;
     Log& log_;
--- a/src/limedrum/decide.cpp
+++ b/src/limedrum/decide.cpp
@@ -7,19 +7,11 @@
 // guard of a rule sits in maySend(); nothing else sends.
 #include <limedrum/scheduler.h>
 
-#include <algorithm>
-#include <cmath>
-#include <deque>
-#include <limits>
-#include <map>
-#include <optional>
-#include <set>
 #include <tuple>
-#include <unordered_map>
-#include <utility>
 
 #include "bids.h"
 #include "fleet.h"
+#include "memory.h"
 #include "settings.h"
 #include "state.h"
 
@@ -111,6 +103,12 @@
         return std::move(actions_);
     }
 
+    // What the next process on this machine goes on with.
+    std::string handOver(double nowMs) { return writeMemory(nowMs, learned()); }
+    bool takeOver(double nowMs, const std::string& text) {
+        return readMemory(text, nowMs, roundStartMs_, learned());
+    }
+
     std::vector<NodeView> view() const {
         std::vector<NodeView> out;
         for (const Node* n : fleet_.nodesInOrder()) {
@@ -462,7 +460,7 @@
     double room(Ledger& ledger, const Budget& b, double part, double bornMs) const {
         const double freshUntilMs = bornMs < startMs_ ? 0 : startMs_ + b.windowMs + kValidMs + set_.tickMs;
         if (!b.fills && now_ < freshUntilMs) return 0;
-        return ledger.room(now_, b, part, startMs_, kValidMs + set_.tickMs);
+        return ledger.room(now_, b, part, fillMs_, kValidMs + set_.tickMs);
     }
 
     void draw(BudgetId id, const std::optional<Budget>& b, double units) {
@@ -970,11 +968,13 @@
 
     // ---- What this host knows ----
 
+    Learned learned() { return {fleet_, volumes_, shares_, tills_, taken_, extras_, fillMs_}; }
+
     Settings set_;
     Random random_;
     double now_;
-    double startMs_ = now_;
-    double aimMs_ = kNever;  // the tightest
+    double startMs_ = now_, fillMs_ = now_;  // since the second, untouched parts of limits fill
+    double aimMs_ = kNever;                  // the tightest
     double roundStartMs_ = std::floor(now_ / kRoundMs) * kRoundMs;
     double tellSumsMs_ = kNever;  // when this host tells the sums of the bids that it gathers
     double sweptMs_ = now_;
@@ -1008,6 +1008,8 @@
 }
 void Scheduler::retune(Settings settings) { impl_->retune(std::move(settings)); }
 std::vector<NodeView> Scheduler::view() const { return impl_->view(); }
+std::string Scheduler::handOver(double nowMs) { return impl_->handOver(nowMs); }
+bool Scheduler::takeOver(double nowMs, const std::string& text) { return impl_->takeOver(nowMs, text); }
 std::size_t Scheduler::tableSize() const { return impl_->tableSize(); }
 
 }  // namespace limedrum
--- /dev/null
+++ b/src/limedrum/memory.cpp
@@ -0,0 +1,366 @@
+#include "memory.h"
+
+#include <array>
+#include <charconv>
+#include <cstdio>
+#include <utility>
+
+namespace limedrum {
+namespace {
+
+// Lines of fields with a blank between; the first has the form's number, the last how many lines there are.
+constexpr std::string_view kForm = "learned1";
+constexpr double kBucketMs = 100;      // of the windows of requests and repeats
+constexpr double kMostNumber = 1e15;   // of any figure: beyond it nothing is meant
+constexpr std::size_t kMostName = 64;  // bytes of a volume's name
+
+// What passes on of each, in the order of the text. Times are those of the machine's clock, which both have.
+constexpr std::array kNodeFigures{&Node::unitMs, &Node::delayMs, &Node::rate};
+constexpr std::array kNodeTimes{&Node::signMs,    &Node::pressedUntilMs, &Node::toldPressedUntilMs,
+                                &Node::crowdedMs, &Node::silentSinceMs,  &Node::trickledMs};
+constexpr std::array kBidFigures{&Bid::offered, &Bid::reserved, &Bid::weighed,
+                                 &Bid::served,  &Bid::pressed,  &Bid::hosts};
+constexpr std::array kVolumeFigures{&Volume::own, &Volume::others, &Volume::now, &Volume::last};
+
+class Writer {
+public:
+    void line(std::string_view kind) {
+        text += lines++ == 0 ? "" : "\n";
+        text += kind;
+    }
+    void name(std::string_view value) { (text += ' ') += value; }
+    void whole(std::uint64_t value) { name(std::to_string(value)); }
+    void number(double value) { put(" %.6g", value); }
+    /// To the ms; what was never counts as long ago.
+    void time(double ms) { put(" %.0f", std::max(ms, 0.0)); }
+    /// A node's start, which tells one life of it from another: to the last digit.
+    void exact(double value) { put(" %.17g", value); }
+    void bid(const Bid& b) {
+        for (const auto figure : kBidFigures) number(b.*figure);
+    }
+
+    std::string text;
+    int lines = 0;
+
+private:
+    void put(const char* form, double value) {
+        char digits[400];
+        std::snprintf(digits, sizeof digits, form, std::isfinite(value) ? value : 0);
+        text += digits;
+    }
+};
+
+/// Takes lines and their fields off the front; `good` turns false at the first that is not as it should be.
+class Reader {
+public:
+    explicit Reader(std::string_view text) : rest_(text) {}
+    /// The next line's kind; empty after the last.
+    std::string_view line() {
+        if (!line_.empty()) good = false;  // more fields than are known
+        if (rest_.empty()) return {};
+        line_ = rest_.substr(0, rest_.find('\n'));
+        rest_.remove_prefix(std::min(rest_.size(), line_.size() + 1));
+        ++lines;
+        const std::string_view kind = line_.substr(0, line_.find(' '));
+        line_.remove_prefix(kind.size());
+        return kind;
+    }
+    [[nodiscard]] bool atEnd() const { return rest_.empty(); }
+    [[nodiscard]] bool more() const { return !line_.empty(); }
+    std::string name() {
+        const std::string_view field = take();
+        if (field.size() > kMostName) good = false;
+        return std::string(field);
+    }
+    std::uint64_t whole() { return read<std::uint64_t>(); }
+    /// No figure or time is below 0.
+    double figure() {
+        const double value = read<double>();
+        if (!(value >= 0 && value <= kMostNumber)) good = false;
+        return value;
+    }
+    Bid bid() {
+        Bid out;
+        for (const auto f : kBidFigures) out.*f = figure();
+        return out;
+    }
+
+    bool good = true;
+    int lines = 0;
+
+private:
+    std::string_view take() {
+        if (line_.empty()) {
+            good = false;
+            return {};
+        }
+        line_.remove_prefix(1);
+        const std::string_view field = line_.substr(0, line_.find(' '));
+        line_.remove_prefix(field.size());
+        if (field.empty()) good = false;
+        return field;
+    }
+    template <typename Number>
+    Number read() {
+        const std::string_view field = take();
+        Number value{};
+        const auto [end, error] = std::from_chars(field.data(), field.data() + field.size(), value);
+        if (error != std::errc{} || end != field.data() + field.size()) good = false;
+        return value;
+    }
+
+    std::string_view rest_, line_;
+};
+
+/// By buckets: a repeat counts from its bucket's end, a request from its start, so that none allows more.
+void writeWindow(Writer& out, std::string_view kind, const Window& window, bool atEnd) {
+    std::map<double, double> buckets;
+    for (const auto& [ms, units] : window.entries)
+        buckets[(atEnd ? std::ceil(ms / kBucketMs) : std::floor(ms / kBucketMs)) * kBucketMs] += units;
+    for (const auto& [ms, units] : buckets) {
+        out.line(kind);
+        out.time(ms);
+        out.number(units);
+    }
+}
+
+/// Both are in the order of time: what is handed over is older than what has been counted here.
+void join(Window& to, const std::map<double, double>& from) {
+    Window both;
+    for (const auto& [ms, units] : from) both.add(ms, units);
+    for (const auto& [ms, units] : to.entries) both.add(ms, units);
+    to = std::move(both);
+}
+
+/// What a text says, before any of it counts.
+struct Memory {
+    std::map<NodeId, Node> nodes;
+    std::map<CellId, Cell> cells;
+    std::map<std::string, Volume> volumes;
+    std::map<BudgetId, Ledger> shares;
+    std::map<std::pair<BudgetId, int>, Ledger> tills;
+    std::map<double, double> taken, extras;
+    double writtenMs = 0, fillMs = 0;
+};
+
+void readNode(Reader& in, Memory& to) {
+    Node n;
+    n.id = static_cast<NodeId>(in.whole());
+    n.bootMs = in.figure();
+    for (const auto figure : kNodeFigures) n.*figure = in.figure();
+    for (const auto time : kNodeTimes) n.*time = in.figure();
+    to.nodes[n.id] = n;
+}
+
+void readCell(Reader& in, Memory& to) {
+    Cell c;
+    c.id = static_cast<CellId>(in.whole());
+    c.own = in.bid();
+    c.sum = in.bid();
+    c.sumMs = in.figure();
+    c.crowded = in.whole() != 0;
+    for (double* figure : {&c.lastOffered, &c.offered, &c.spent}) *figure = in.figure();
+    to.cells[c.id] = c;
+}
+
+void readDemand(Reader& in, Memory& to) {
+    const auto cell = to.cells.find(static_cast<CellId>(in.whole()));
+    const std::string name = in.name();
+    Demand d;
+    for (double* figure : {&d.now, &d.last, &d.fair}) *figure = in.figure();
+    while (in.good && in.more()) {
+        Offer& offer = d.byWorth[in.figure()];
+        offer.now = in.figure();
+        offer.last = in.figure();
+    }
+    if (cell == to.cells.end())
+        in.good = false;
+    else
+        cell->second.volumes[name] = d;
+}
+
+void readLedger(Reader& in, Ledger& to) {
+    to.level = in.figure();
+    to.filledMs = in.figure();
+}
+
+void readVolume(Reader& in, Memory& to) {
+    Volume& v = to.volumes[in.name()];
+    v.plan = static_cast<int>(std::min<std::uint64_t>(in.whole(), 1'000'000));
+    v.hosts = static_cast<int>(std::clamp<std::uint64_t>(in.whole(), 1, 1'000'000));
+    v.seenMs = in.figure();
+    for (const auto figure : kVolumeFigures) v.*figure = in.figure();
+}
+
+bool readAll(Reader& in, Memory& to) {
+    if (in.line() != kForm) return false;
+    to.writtenMs = in.figure();
+    to.fillMs = in.figure();
+    bool ended = false;
+    for (auto kind = in.line(); !kind.empty() && in.good; kind = in.line()) {
+        if (ended) return false;
+        const int before = in.lines - 1;
+        if (kind == "node") {
+            readNode(in, to);
+        } else if (kind == "cell") {
+            readCell(in, to);
+        } else if (kind == "demand") {
+            readDemand(in, to);
+        } else if (kind == "volume") {
+            readVolume(in, to);
+        } else if (kind == "share") {
+            const BudgetId id{'v', in.whole()};
+            readLedger(in, to.shares[id]);
+        } else if (kind == "till") {
+            const BudgetId id{'v', in.whole()};
+            const int part = static_cast<int>(std::min<std::uint64_t>(in.whole(), 1'000'000));
+            readLedger(in, to.tills[{id, part}]);
+        } else if (kind == "taken" || kind == "extra") {
+            const double ms = in.figure();
+            (kind == "taken" ? to.taken : to.extras)[ms] = in.figure();
+        } else if (kind == "end") {
+            ended = in.whole() == static_cast<std::uint64_t>(before);
+        } else {
+            return false;
+        }
+    }
+    return in.good && ended && in.atEnd();
+}
+
+void writeNodes(Writer& out, const Fleet& fleet) {
+    for (const Node* n : fleet.nodesInOrder()) {
+        if (n->unitMs <= 0 && n->rate <= 0 && n->silentSinceMs <= 0) continue;
+        out.line("node");
+        out.whole(n->id);
+        out.exact(n->bootMs);
+        for (const auto figure : kNodeFigures) out.number(n->*figure);
+        for (const auto time : kNodeTimes) out.time(n->*time);
+    }
+}
+
+void writeCells(Writer& out, const Fleet& fleet) {
+    for (const CellId id : fleet.live) {
+        const Cell& c = fleet.cells.at(id);
+        out.line("cell");
+        out.whole(static_cast<std::uint64_t>(id));
+        out.bid(c.own);
+        out.bid(c.sum);
+        out.time(c.sumMs);
+        out.whole(c.crowded ? 1 : 0);
+        for (const double figure : {c.lastOffered, c.offered, c.spent}) out.number(figure);
+        for (const auto& [name, d] : c.volumes) {
+            if (name.empty() || name.size() > kMostName) continue;
+            out.line("demand");
+            out.whole(static_cast<std::uint64_t>(id));
+            out.name(name);
+            for (const double figure : {d.now, d.last, d.fair}) out.number(figure);
+            for (const auto& [worth, offer] : d.byWorth)
+                for (const double figure : {worth, offer.now, offer.last}) out.number(figure);
+        }
+    }
+}
+
+/// A round has ended since it was written: what was then of that round is of the last one.
+void endRound(Memory& memory) {
+    for (auto& [id, c] : memory.cells) {
+        c.lastOffered = std::exchange(c.offered, 0);
+        c.spent = 0;
+        for (auto& [name, d] : c.volumes) {
+            d.last = std::exchange(d.now, 0);
+            for (auto& [worth, offer] : d.byWorth) offer.last = std::exchange(offer.now, 0);
+        }
+    }
+    for (auto& [name, v] : memory.volumes) v.endRound();
+}
+
+/// A level that goes over: from now on it fills there, and here from nothing.
+void giveUp(Writer& out, Ledger& ledger, double nowMs) {
+    out.number(std::max(0.0, std::exchange(ledger.level, 0)));
+    out.time(std::exchange(ledger.filledMs, nowMs));
+}
+/// One that came over. What was touched here before is less than a start's.
+void fill(Ledger& ledger, const Ledger& told, double nowMs) {
+    ledger.level += told.level;
+    ledger.filledMs = std::min(told.filledMs, nowMs);
+}
+
+}  // namespace
+
+std::string writeMemory(double nowMs, const Learned& from) {
+    Writer out;
+    out.line(kForm);
+    out.time(nowMs);
+    out.time(std::exchange(from.fillMs, nowMs));
+    writeNodes(out, from.fleet);
+    writeCells(out, from.fleet);
+    for (const auto& [name, v] : from.volumes) {
+        if (name.empty() || name.size() > kMostName) continue;
+        out.line("volume");
+        out.name(name);
+        out.whole(static_cast<std::uint64_t>(v.plan));
+        out.whole(static_cast<std::uint64_t>(v.hosts));
+        out.time(v.seenMs);
+        for (const auto figure : kVolumeFigures) out.number(v.*figure);
+    }
+    for (auto& [id, share] : from.shares) {
+        if (id.first != 'v') continue;
+        out.line("share");
+        out.whole(id.second);
+        giveUp(out, share.own, nowMs);
+    }
+    for (auto& [id, till] : from.tills) {
+        if (id.first != 'v') continue;
+        for (auto& [part, ledger] : till.parts) {
+            out.line("till");
+            out.whole(id.second);
+            out.whole(static_cast<std::uint64_t>(part));
+            giveUp(out, ledger, nowMs);
+        }
+    }
+    writeWindow(out, "taken", from.taken, false);
+    writeWindow(out, "extra", from.extras, true);
+    const int before = out.lines;
+    out.line("end");
+    out.whole(static_cast<std::uint64_t>(before));
+    return std::move(out.text);
+}
+
+bool readMemory(std::string_view text, double nowMs, double roundStartMs, const Learned& to) {
+    Reader in(text);
+    Memory memory;
+    if (!readAll(in, memory) || std::abs(nowMs - memory.writtenMs) > kMemoryMs) return false;
+    if (memory.writtenMs < roundStartMs) endRound(memory);
+    const double lastMs = nowMs + kMemoryMs;  // no pressure holds for longer
+    for (const auto& [id, told] : memory.nodes) {
+        const auto at = to.fleet.nodes.find(id);
+        if (at == to.fleet.nodes.end() || at->second.bootMs != told.bootMs) continue;
+        for (const auto figure : kNodeFigures) at->second.*figure = told.*figure;
+        for (const auto time : kNodeTimes) at->second.*time = std::min(told.*time, lastMs);
+    }
+    for (auto& [id, told] : memory.cells) {
+        const auto at = to.fleet.cells.find(id);
+        if (at == to.fleet.cells.end() || at->second.holders.empty()) continue;
+        Cell& c = to.fleet.touch(id);
+        c.own = told.own;
+        c.sum = told.sum;
+        c.sumMs = std::min(told.sumMs, nowMs);
+        c.crowded = told.crowded;
+        c.lastOffered = told.lastOffered;
+        c.offered += told.offered;
+        c.spent += told.spent;
+        for (auto& [name, demand] : told.volumes)
+            if (memory.volumes.contains(name)) c.volumes.try_emplace(name, std::move(demand));
+    }
+    for (auto& [name, told] : memory.volumes) {
+        told.seenMs = std::min(told.seenMs, nowMs);
+        to.volumes.try_emplace(name, told);
+    }
+    for (const auto& [id, told] : memory.shares) fill(to.shares[id].own, told, nowMs);
+    for (const auto& [id, told] : memory.tills) fill(to.tills[id.first].parts[id.second], told, nowMs);
+    to.fillMs = std::min(memory.fillMs, nowMs);
+    join(to.taken, memory.taken);
+    join(to.extras, memory.extras);
+    return true;
+}
+
+}  // namespace limedrum
--- a/src/limedrum/state.h
+++ b/src/limedrum/state.h
@@ -70,7 +70,9 @@
     /// Units left in the part. What is taken counts `lagMs` longer, as it may be used late.
     double room(double nowMs, const Budget& b, double part, double startMs, double lagMs) {
         const double whole = part * b.units;
-        level = std::min(whole, level + whole * (nowMs - std::max(filledMs, startMs)) / b.windowMs);
+        // One that was handed over has filled since before this host's start.
+        const double sinceMs = std::isfinite(filledMs) ? filledMs : startMs;
+        level = std::min(whole, level + whole * std::max(0.0, nowMs - sinceMs) / b.windowMs);
         filledMs = nowMs;
         taken.trim(nowMs - b.windowMs - lagMs);
         return b.fills ? level : std::max(0.0, whole - taken.units);
--- a/tests/limedrum/decide_test.cpp
+++ b/tests/limedrum/decide_test.cpp
@@ -9,28 +9,6 @@
 using namespace limedrum;
 using namespace limedrum::testing;
 
-namespace {
-
-/// Full answers put cell 0's node under pressure; answers under it teach its rate. Every other request is of
-/// class 1 where there is one. How many of each class were sent.
-std::array<int, 2> saturate(Driver& d, double fromMs, double untilMs, double everyMs = 5, int classes = 1) {
-    std::array<int, 2> sent{};
-    int i = 0;
-    for (double t = fromMs; t < untilMs; t += everyMs, ++i) {
-        RequestEvent r = request(std::to_string(t), t + 1000, 0);
-        r.classNo = i % classes;
-        for (const Action& a : d.give(t, r)) {
-            const auto* send = std::get_if<Send>(&a);
-            if (send == nullptr) continue;
-            ++sent[r.classNo];
-            d.outcome(t, send->id, 0, 100, Outcome::done, i % 4 < 2 ? 10 : 700);
-        }
-    }
-    return sent;
-}
-
-}  // namespace
-
 // Guards against one hostile client that names a huge deadline: all others of its class then looked like
 // clients' repeats whose aim has passed, and were thinned first.
 TEST_CASE("a deadline beyond the class's own does not make the others late") {
--- a/tests/limedrum/driver.h
+++ b/tests/limedrum/driver.h
@@ -3,6 +3,7 @@
 
 #include <limedrum/scheduler.h>
 
+#include <array>
 #include <string>
 #include <vector>
 
@@ -75,6 +76,8 @@
     }
     int sends(const RequestId& id = "") const { return count<Send>(all, id); }
     int answers(const RequestId& id = "") const { return count<Refuse>(all, id) + count<Fail>(all, id); }
+    std::string handOver() { return scheduler_.handOver(nowMs); }
+    bool takeOver(const std::string& text) { return scheduler_.takeOver(nowMs, text); }
     std::size_t tableSize() const { return scheduler_.tableSize(); }
 
 private:
@@ -86,4 +89,23 @@
     std::vector<Action> all;
 };
 
+/// Full answers put cell 0's node under pressure; answers under it teach its rate. Every other request is of
+/// class 1 where there is one. How many of each class were sent.
+inline std::array<int, 2> saturate(Driver& d, double fromMs, double untilMs, double everyMs = 5,
+                                   int classes = 1) {
+    std::array<int, 2> sent{};
+    int i = 0;
+    for (double t = fromMs; t < untilMs; t += everyMs, ++i) {
+        RequestEvent r = request(std::to_string(t), t + 1000, 0);
+        r.classNo = i % classes;
+        for (const Action& a : d.give(t, r)) {
+            const auto* send = std::get_if<Send>(&a);
+            if (send == nullptr) continue;
+            ++sent[r.classNo];
+            d.outcome(t, send->id, 0, 100, Outcome::done, i % 4 < 2 ? 10 : 700);
+        }
+    }
+    return sent;
+}
+
 }  // namespace limedrum::testing
--- /dev/null
+++ b/tests/limedrum/memory_test.cpp
@@ -0,0 +1,141 @@
+// What an instance hands to the one that follows it.
+#include <doctest/doctest.h>
+
+#include "driver.h"
+
+using namespace limedrum;
+using namespace limedrum::testing;
+
+namespace {
+
+/// Requests for cell 0 that its pressed node would thin: how many were refused at once.
+int refusedOf(Driver& d, int requests) {
+    const int before = d.answers();
+    for (int i = 0; i < requests; ++i) d.give(d.nowMs + 1, request("x" + std::to_string(i), d.nowMs + 1000));
+    return d.answers() - before;
+}
+
+struct Taught {
+    Taught() : old(plainSettings()) {
+        saturate(old, 0, 9000);
+        text = old.handOver();
+    }
+    Driver old;
+    std::string text;
+};
+
+/// `text` with its first `from` replaced.
+std::string with(std::string text, const std::string& from, const std::string& to) {
+    const std::size_t at = text.find(from);
+    REQUIRE(at != text.npos);
+    return text.replace(at, from.size(), to);
+}
+
+Settings limited() {
+    Settings s = plainSettings();
+    s.hosts = 1;
+    s.plans[0] = {.rate = 10, .limit = 20, .limitDepth = 40};
+    return s;
+}
+
+/// Units that a volume's requests, which all come at once, get sent.
+double unitsOf(Driver& d, const std::string& name, int requests = 40) {
+    double units = 0;
+    for (int i = 0; i < requests; ++i) {
+        RequestEvent r = request(name + std::to_string(i), d.nowMs + 400);
+        r.volume = name.starts_with('w') ? "w" : "v";
+        for (const Action& a : d.give(d.nowMs, r)) {
+            if (const auto* send = std::get_if<Send>(&a)) {
+                units += r.units;
+                d.outcome(d.nowMs, send->id, 0, send->node, Outcome::done, 1);
+            }
+        }
+    }
+    return units;
+}
+
+}  // namespace
+
+// Guards against work that a new process holds until it expires, at a node whose rate and pressure the
+// process before it knew: its clients ran out of connections.
+TEST_CASE("memory: the next instance thins a pressed node from its first request on") {
+    Taught t;
+    Driver fresh(plainSettings(), 2, t.old.nowMs), next(plainSettings(), 2, t.old.nowMs);
+    REQUIRE(next.takeOver(t.text));
+    const int old = refusedOf(t.old, 100);
+    CHECK(old > 30);
+    CHECK(refusedOf(next, 100) > old / 2);
+    CHECK(refusedOf(fresh, 100) < 10);
+}
+
+TEST_CASE("memory: a silent node stays so, and one that has started anew is not taken for the old one") {
+    Driver old(plainSettings(), 1, 10'000);
+    old.give(10'000, request("0", 11'000));
+    old.outcome(10'001, "0", 0, 100, Outcome::connectFailed);
+    old.pass(11'500, 10);
+    const std::string text = old.handOver();
+    Driver next(plainSettings(), 2, 11'500);
+    REQUIRE(next.takeOver(text));
+    next.give(11'500, request("a", 12'500));
+    next.give(11'501, request("b", 12'501));
+    CHECK(next.sends() <= 1);  // a trickle
+    CHECK(next.answers() >= 1);
+
+    Driver other(plainSettings(), 2, 11'500);
+    other.give(11'500, ListEvent{ListKind::full, {{.node = 100, .cell = 0, .bootMs = 11'400}}});
+    REQUIRE(other.takeOver(text));
+    CHECK(other.handOver().find("\nnode 100 ") == std::string::npos);  // nothing is known of it
+}
+
+// The rule on limits sees one scheduler.
+TEST_CASE("memory: levels of limits go over whole, and both together have no more than one") {
+    Driver old(limited()), next(limited(), 2, 21'500);
+    old.pass(20'000, 50);
+    const double first = unitsOf(old, "first");
+    CHECK(first > 30);  // of 40: its parts were full
+    old.pass(21'500, 50);
+    const double level = 40 - first + 20 * 1.5 - unitsOf(old, "one", 1);
+    REQUIRE(next.takeOver(old.handOver()));
+    const double units = unitsOf(next, "next");
+    CHECK(units > 0.8 * level);
+    CHECK(units <= level);
+    CHECK(unitsOf(old, "old") == 0);
+    // What nobody had asked for goes over too: the parts of another volume, which are full.
+    const double other = unitsOf(next, "w");
+    CHECK(other > 30);
+    CHECK(unitsOf(old, "w") == 0);
+}
+
+TEST_CASE("memory: a text that is cut, spoilt, stale or absurd changes nothing") {
+    Taught t;
+    const auto taken = [&](const std::string& text) {
+        Driver next(plainSettings(), 2, t.old.nowMs);
+        const std::string before = next.handOver();
+        const bool good = next.takeOver(text);
+        CHECK((good || next.handOver() == before));
+        return good;
+    };
+    CHECK(taken(t.text));
+    for (std::size_t i = 0; i < t.text.size(); ++i) CHECK_FALSE(taken(t.text.substr(0, i)));
+    CHECK_FALSE(taken(t.text + "\nend 1"));
+    CHECK_FALSE(taken(t.text + ' '));
+    CHECK_FALSE(taken(with(t.text, "learned1", "learned2")));
+    CHECK_FALSE(taken(with(t.text, "\nnode ", "\nnone ")));
+    CHECK_FALSE(taken(with(t.text, "\nnode 100 0 ", "\nnode 100 0 nan ")));
+    CHECK_FALSE(taken(with(t.text, "\nnode 100 0 ", "\nnode 100 0 1 ")));  // a field too many
+    CHECK_FALSE(taken(with(t.text, "\nnode 100 0 ", "\nnode 100 -1 ")));
+    CHECK_FALSE(taken(with(t.text, "\nnode 100 0 ", "\nnode 100 1e300 ")));
+    CHECK_FALSE(taken(with(t.text, "\ndemand 0 v", "\ndemand 7 v")));  // of no cell
+    // Each byte flipped: taken or not, never more than that.
+    for (std::size_t i = 0; i < t.text.size(); ++i) {
+        std::string text = t.text;
+        text[i] = static_cast<char>(text[i] ^ 0x15);
+        Driver next(plainSettings(), 2, t.old.nowMs);
+        (void)next.takeOver(text);
+        next.pass(next.nowMs + 2500, 50);
+    }
+    Driver late(plainSettings(), 2, t.old.nowMs + 5100);
+    CHECK_FALSE(late.takeOver(t.text));
+    Driver early(plainSettings(), 2, t.old.nowMs - 5100);
+    CHECK_FALSE(early.takeOver(t.text));
+}
--- a/tests/program/upgrade_test.cpp
+++ b/tests/program/upgrade_test.cpp
@@ -1,8 +1,13 @@
 // Two processes of the program on one machine: sockets change hands, and no client meets a closed door.
 #include <doctest/doctest.h>
 #include <fcntl.h>
+#include <sys/socket.h>
+#include <sys/un.h>
 #include <unistd.h>
 
+#include <cstring>
+#include <thread>
+
 #include "world.h"
 
 using namespace martencove::test;
@@ -62,6 +67,7 @@
     REQUIRE(t.takesOver());
     CHECK(t.ready(1) == 200);
     CHECK(t.ready(0) == 503);
+    CHECK(t.next.counter("handover_learned") == 1);
     // New connections are the next one's; kept ones are served once more by the old one, and end with that
     // answer.
     CHECK(t.old.ask(t.old.request("0000000000000003")).code() == 200);
@@ -107,6 +113,69 @@
     CHECK(t.next.end() == 0);
 }
 
+namespace {
+
+/// A stand-in for the process that serves: gives the descriptor `fd` away under the name "other", and behind
+/// it says `told`.
+void giveAway(const std::string& path, int fd, const std::string& told) {
+    const int listener = socket(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_un address{};
+    address.sun_family = AF_UNIX;
+    path.copy(address.sun_path, sizeof address.sun_path - 1);
+    REQUIRE(bind(listener, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0);
+    REQUIRE(listen(listener, 1) == 0);
+    std::thread([listener, fd, told] {
+        const int taker = accept(listener, nullptr, nullptr);
+        std::string text = "other memory \n" + told;
+        alignas(cmsghdr) char control[CMSG_SPACE(sizeof fd)] = {};
+        iovec piece{text.data(), text.size()};
+        msghdr message{};
+        message.msg_iov = &piece;
+        message.msg_iovlen = 1;
+        message.msg_control = control;
+        message.msg_controllen = sizeof control;
+        cmsghdr* head = CMSG_FIRSTHDR(&message);
+        head->cmsg_level = SOL_SOCKET;
+        head->cmsg_type = SCM_RIGHTS;
+        head->cmsg_len = CMSG_LEN(sizeof fd);
+        std::memcpy(CMSG_DATA(head), &fd, sizeof fd);
+        (void)sendmsg(taker, &message, MSG_NOSIGNAL);
+        char ready = 0;
+        (void)!recv(taker, &ready, 1, 0);  // until it takes clients, or is gone
+        close(taker);
+        close(listener);
+    }).detach();
+}
+
+}  // namespace
+
+// Guards against a start that is refused, or goes on with half of what was learned, for what another process
+// says.
+TEST_CASE("upgrade: what was learned and cannot be read whole leaves a fresh start") {
+    World world;
+    std::string told;
+    SUBCASE("none") { told = "0\n"; }
+    SUBCASE("cut off") { told = "4000\nlearned1 17"; }
+    SUBCASE("no length") { told = "what was learned, for the next process\n"; }
+    SUBCASE("too long") { told = "99999999999\nlearned1"; }
+    SUBCASE("stale") { told = "20\nlearned1 5 5\nend 1\n"; }
+    SUBCASE("nonsense") { told = "9\nfoo\nbar\n\n"; }
+    SUBCASE("nothing") {}
+    HttpNode node(world.base.get(), serve);
+    world.config["known"]["hosts"].push_back(world.entry("s-1", node.listener.address, 5, "ready"));
+    const FreeAddress ops;
+    world.config["ops"] = ops.text();
+    world.shared = world.folder();
+    const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+    giveAway(world.folder() + "/martencove.handover", fd, told);
+    world.start();
+    CHECK(world.counter("handover_fresh") == 1);
+    CHECK(world.counter("handover_learned") == 0);
+    CHECK(world.ask(world.request("0000000000000001")).code() == 200);
+    CHECK(world.end() == 0);
+    close(fd);
+}
+
 // Guards against a start that waits for, or trips over, what a killed process left in the folder.
 TEST_CASE("upgrade: a process that was killed leaves nothing that keeps the next one from its start") {
     Upgrade t;
