--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -86,6 +86,9 @@
     limits.nodeConnections = both * 2 / 5;
     limits.clientConnections = both - limits.nodeConnections;
     limits.keptConnections = limits.clientConnections / 2;
+    // All clients together may have as much before them as answers that are held.
+    limits.passAhead =
+        std::clamp<std::size_t>(limits.answersHeld / limits.clientConnections, 16 * 1024, limits.passAhead);
     limits.openRequests =
         std::min(limits.openRequests, static_cast<std::size_t>(std::max(1, out.site.openRequests)));
     limits.notTakenBackMs = out.site.module.maxRetryAfterMs;
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstddef>
+#include <cstdint>
 
 #include "core/backoff.h"
 #include "core/grace.h"
@@ -11,7 +12,10 @@
 struct Limits {
     // Sizes, in bytes.
     std::size_t body = 64 * 1024;
-    std::size_t answerBody = 1024 * 1024;       // of one node's answer, which may be longer than a request
+    std::size_t answerBody = 1024 * 1024;       // of one node's answer that is held whole
+    std::size_t passFrom = 64 * 1024;           // a longer answer is passed on as it comes
+    std::size_t passAhead = 64 * 1024;          // of one that its client has not taken: then no more is read
+    std::uint64_t passMost = 1ULL << 30;        // in all: beyond it no length is meant
     std::size_t answersHeld = 8 * 1024 * 1024;  // of all of them that are in memory
     std::size_t headers = 8 * 1024;
     std::size_t datagram = 256;
@@ -45,6 +49,7 @@
 
     // Times, in ms.
     double dialMs = 250;
+    double passStillMs = 10000;    // an answer that is passed on, and nothing more of it comes
     double nodeIdleMs = 15000;     // a node closes a connection idle for this long
     double nodeRestMs = 3;         // after an answer, before the next request on its connection
     double idlePart = 0.6;         // of it: an idle connection is retired
--- a/src/http/answer.cpp
+++ b/src/http/answer.cpp
@@ -104,7 +104,7 @@
     if (sized_ && chunked_) return Got::bad;
     // A body that only the connection's end would end cannot be told from one that broke.
     if (!none && !sized_ && !chunked_) return Got::bad;
-    if (left_ > limits_.answerBody) return Got::bad;
+    if (left_ > limits_.passMost) return Got::bad;
     part_ = none ? Part::done : chunked_ ? Part::chunkSize : Part::body;
     return Got::whole;
 }
@@ -113,7 +113,7 @@
     const std::string_view digits = trimmed(std::string_view(line_).substr(0, line_.find(';')));
     const auto [next, error] = std::from_chars(digits.data(), digits.data() + digits.size(), left_, 16);
     if (digits.empty() || error != std::errc{} || next != digits.data() + digits.size() ||
-        left_ > limits_.answerBody - body.size())
+        left_ > limits_.passMost)
         return Got::bad;
     part_ = left_ == 0 ? Part::trailers : Part::chunk;
     return Got::whole;
--- a/src/http/answer.h
+++ b/src/http/answer.h
@@ -19,7 +19,13 @@
     /// Takes what belongs to the answer off the front of `in`. 1xx answers before it are passed over.
     Got take(std::string_view& in);
 
-    // Of a whole answer:
+    /// Its status and headers have come, and its body has a length, or chunks.
+    [[nodiscard]] bool headCame() const { return part_ > Part::headers; }
+    /// Of a body that is not in chunks, what is still to come.
+    [[nodiscard]] std::uint64_t left() const { return left_; }
+    [[nodiscard]] bool chunked() const { return chunked_; }
+
+    // Of a whole answer, `body` but for what was taken from it meanwhile:
     int code = 0;
     bool declined = false;  ///< the node says that it has not run the request
     bool keepAlive = true;  ///< the connection may be used again
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -1,5 +1,6 @@
 #include "http/front.h"
 
+#include <event2/http_struct.h>
 #include <event2/listener.h>
 #include <fcntl.h>
 #include <sys/ioctl.h>
@@ -15,6 +16,40 @@
 
 namespace martencove {
 
+/// One attempt on its way. A long answer goes on to the client as it comes: then its job is over, and it is
+/// the client's connection that holds it.
+class Course final : public AnswerSink {
+public:
+    Course(HttpFront& front, HttpJob& job, int number) : front_(front), job_(job), number_(number) {}
+
+    [[nodiscard]] bool start(const Address& node, const NodeRequest& request, double timeoutMs) {
+        exchange_ =
+            front_.pool_.send(node, request, timeoutMs, [this](Reply reply) { ended(std::move(reply)); });
+        return exchange_ != nullptr;
+    }
+    [[nodiscard]] bool begun() const { return exchange_->begun(); }
+
+    /// The answer's head goes to the client; pieces follow.
+    void goOn(evhttp_request* request);
+    bool begins(const std::string& contentType, std::optional<std::uint64_t> length) override;
+    void piece(std::string bytes) override;
+    [[nodiscard]] evhttp_request* request() const { return request_; }
+
+    std::string contentType;
+    std::optional<std::uint64_t> length;
+
+private:
+    void ended(Reply reply);
+    static void taken(evhttp_connection*, void* self);
+
+    HttpFront& front_;
+    HttpJob& job_;  // until goOn()
+    int number_;
+    std::unique_ptr<Exchange<NodeLink>> exchange_;
+    evhttp_request* request_ = nullptr;  // since then; its connection holds it, and this
+    bool ahead_ = false;                 // the client has enough before it
+};
+
 /// A request of a client, until its answer is handed to its connection or the client is gone.
 class HttpJob final : public Job {
 public:
@@ -39,21 +74,48 @@
                                      std::to_string(std::max(1L, std::lround(attempt.timeoutMs))));
         const int number = attempt.number;
         const auto address = parseAddress(node.dial);
-        auto exchange =
-            !address ? nullptr
-                     : front_.pool_.send(*address, request, attempt.timeoutMs,
-                                         [this, number](Reply reply) { ended(number, std::move(reply)); });
-        if (!exchange) return front_.desk_.over(id(), number, Ending::notConnected);
-        exchanges_[number] = std::move(exchange);
+        auto course = std::make_unique<Course>(front_, *this, number);
+        // An older client could not tell a long answer that breaks from one that ends.
+        if (request_ != nullptr && request_->major == 1 && request_->minor >= 1) request.sink = course.get();
+        if (!address || !course->start(*address, request, attempt.timeoutMs))
+            return front_.desk_.over(id(), number, Ending::notConnected);
+        courses_[number] = std::move(course);
     }
 
-    void cancel(int attempt) override { exchanges_.erase(attempt); }
+    void cancel(int attempt) override { courses_.erase(attempt); }
+
+    bool withdraw(int attempt) override { return withdrawFrom(courses_, attempt); }
+
+    /// A long answer begins. To the decisions the request is served: what comes is the connection's matter.
+    /// Whether it goes on.
+    bool passes(int attempt) {
+        const auto at = courses_.find(attempt);
+        passing_ = std::move(at->second);
+        courses_.erase(at);
+        HttpFront& front = front_;
+        const Course* course = passing_.get();
+        evhttp_connection* connection =
+            request_ == nullptr ? nullptr : evhttp_request_get_connection(request_);
+        front.desk_.over(RequestId(id()), attempt, Ending::served);  // the last of this job
+        const auto client = front.connections_.find(connection);
+        return client != front.connections_.end() && client->second.course.get() == course;
+    }
 
-    bool withdraw(int attempt) override { return withdrawFrom(exchanges_, attempt); }
+    void ended(int attempt, Reply reply) {
+        const Ending ending = reply.ending;
+        if (ending == Ending::served && reply_.ending != Ending::served) reply_ = std::move(reply);
+        courses_.erase(attempt);
+        front_.desk_.over(RequestId(id()), attempt, ending);
+    }
 
     void answer(const Answer& answer) override {
         if (request_ == nullptr) return;
         evhttp_request* request = release();
+        if (answer.verdict == Verdict::served && passing_) {
+            auto& client = front_.connections_.at(evhttp_request_get_connection(request));
+            client.course = std::move(passing_);
+            return client.course->goOn(request);
+        }
         evkeyvalq* headers = evhttp_request_get_output_headers(request);
         switch (answer.verdict) {
             case Verdict::served:
@@ -82,13 +144,6 @@
     }
 
 private:
-    void ended(int attempt, Reply reply) {
-        const Ending ending = reply.ending;
-        if (ending == Ending::served && reply_.ending != Ending::served) reply_ = std::move(reply);
-        exchanges_.erase(attempt);
-        front_.desk_.over(RequestId(id()), attempt, ending);
-    }
-
     /// Takes the request from the connection's care.
     evhttp_request* release() {
         watch_.reset();
@@ -124,10 +179,14 @@
     evhttp_request* request_;  // null: answered, or the client is gone
     HttpMessage message_;
     Reply reply_;
-    std::map<int, std::unique_ptr<Exchange<NodeLink>>> exchanges_;  // by attempt
+    std::map<int, std::unique_ptr<Course>> courses_;  // by attempt
+    std::unique_ptr<Course> passing_;                 // whose long answer is about to go on
     Owned<event> watch_;
 };
 
+HttpFront::Client::Client() = default;
+HttpFront::Client::~Client() = default;
+
 namespace {
 
 /// Whether bytes have come that nobody has read, a request, perhaps, that a close would lose, or an answer
@@ -214,7 +273,7 @@
     }
     // One that goes on with pieces of a request for longer than evhttp's time-out between them is no better.
     for (const auto& [connection, client] : connections_) {
-        if (client.job == nullptr && client.usedMs <= before - limits_.clientIdleMs)
+        if (!client.busy() && client.usedMs <= before - limits_.clientIdleMs)
             silent.emplace_back(client.usedMs, evhttp_connection_get_bufferevent(connection));
     }
     std::sort(silent.begin(), silent.end());
@@ -360,23 +419,91 @@
     Leaving& operator=(const Leaving&) = delete;
 };
 
+void leave(evbuffer* by, std::string body, Counters& counters) {
+    if (body.empty()) return;
+    auto leaving = std::make_unique<Leaving>(std::move(body), counters);
+    const std::string& text = leaving->body;
+    if (evbuffer_add_reference(
+            by, text.data(), text.size(),
+            [](const void*, std::size_t, void* arg) { delete static_cast<Leaving*>(arg); },
+            leaving.get()) == 0)
+        (void)leaving.release();  // the buffer's now
+}
+
+/// evhttp closes a connection on which nothing has come for the time of an idle one, also while it writes.
+void limitSilence(evhttp_connection* connection, const Limits& limits, bool reading) {
+    const timeval idle = timevalOf(limits.clientIdleMs), still = timevalOf(limits.passStillMs);
+    bufferevent_set_timeouts(evhttp_connection_get_bufferevent(connection), reading ? &idle : nullptr,
+                             reading ? &idle : &still);
+}
+
 }  // namespace
 
-void HttpFront::reply(evhttp_request* request, int code, const char* reason, std::string body) {
+void HttpFront::mayEnd(evhttp_request* request) {
     // Near the bound a connection that rests is one that another client cannot have.
     if (draining_ || yields_ || evacuating() ||
         connections_.size() + unheard_.size() > limits_.keptConnections)
         evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
-    if (!body.empty()) {
-        auto leaving = std::make_unique<Leaving>(std::move(body), desk_.counters());
-        const std::string& text = leaving->body;
-        if (evbuffer_add_reference(
-                evhttp_request_get_output_buffer(request), text.data(), text.size(),
-                [](const void*, std::size_t, void* arg) { delete static_cast<Leaving*>(arg); },
-                leaving.get()) == 0)
-            (void)leaving.release();  // the buffer's now
-    }
+}
+
+void HttpFront::reply(evhttp_request* request, int code, const char* reason, std::string body) {
+    mayEnd(request);
+    leave(evhttp_request_get_output_buffer(request), std::move(body), desk_.counters());
     evhttp_send_reply(request, code, reason, nullptr);
 }
 
+// A client that has been told of more than comes, or of chunks without a last one, knows that it broke.
+void HttpFront::passed(evhttp_connection* connection, bool whole) {
+    const auto client = connections_.find(connection);
+    if (client == connections_.end()) return;
+    const std::unique_ptr<Course> course = std::move(client->second.course);
+    client->second.usedMs = desk_.nowMs();
+    if (!whole) {
+        desk_.counters().add("answer_cut");
+        return evhttp_connection_free(connection);
+    }
+    limitSilence(connection, limits_, true);
+    evhttp_send_reply_end(course->request());
+}
+
+void Course::goOn(evhttp_request* request) {
+    request_ = request;
+    evkeyvalq* headers = evhttp_request_get_output_headers(request);
+    if (!contentType.empty()) evhttp_add_header(headers, "Content-Type", contentType.c_str());
+    if (length) evhttp_add_header(headers, "Content-Length", std::to_string(*length).c_str());
+    front_.mayEnd(request);
+    front_.desk_.counters().add("answer_passed_on");
+    limitSilence(evhttp_request_get_connection(request), front_.limits_, false);
+    evhttp_send_reply_start(request, 200, "OK");
+}
+
+bool Course::begins(const std::string& type, std::optional<std::uint64_t> bytes) {
+    contentType = type;
+    length = bytes;
+    return job_.passes(number_);
+}
+
+// No more is read than a client takes, but for a little that is before it.
+void Course::piece(std::string bytes) {
+    const Owned<evbuffer> buffer(evbuffer_new());
+    if (!buffer) return;
+    leave(buffer.get(), std::move(bytes), front_.desk_.counters());
+    evhttp_connection* connection = evhttp_request_get_connection(request_);
+    evhttp_send_reply_chunk_with_cb(request_, buffer.get(), taken, this);
+    const evbuffer* output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
+    if (ahead_ || evbuffer_get_length(output) <= front_.limits_.passAhead) return;
+    ahead_ = true;
+    exchange_->flow(false);
+}
+
+void Course::taken(evhttp_connection*, void* arg) {
+    auto* self = static_cast<Course*>(arg);
+    if (std::exchange(self->ahead_, false)) self->exchange_->flow(true);
+}
+
+void Course::ended(Reply reply) {
+    if (request_ == nullptr) return job_.ended(number_, std::move(reply));
+    front_.passed(evhttp_request_get_connection(request_), reply.ending == Ending::served);
+}
+
 }  // namespace martencove
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -14,6 +14,7 @@
 
 namespace martencove {
 
+class Course;
 class HttpJob;
 
 class HttpFront {
@@ -49,6 +50,7 @@
     bool quiet() const;
 
 private:
+    friend class Course;
     friend class HttpJob;
     static void requested(evhttp_request* request, void* self);
     static bufferevent* accepted(event_base* base, void* self);
@@ -56,6 +58,10 @@
     void take(evhttp_request* request);
     void reply(evhttp_request* request, int code, const char* reason, std::string body = "");
     void refuse(evhttp_request* request, const std::string& wrong);
+    /// Tells the client where its connection ends with this answer.
+    void mayEnd(evhttp_request* request);
+    /// The end of an answer that was passed on; where it is not whole, the connection's too.
+    void passed(evhttp_connection* connection, bool whole);
     /// Closes connections that have been idle longest; their clients come back on new ones.
     void closeIdle(std::size_t most, double idleMs);
     /// Closes those that have said nothing whole for so long, the longest silent first.
@@ -93,11 +99,15 @@
         static void cameIn(evbuffer*, const evbuffer_cb_info* info, void* self);
     };
     struct Client {
-        HttpJob* job = nullptr;  // the request in work
-        double usedMs = 0;       // when the last one came
+        Client();
+        ~Client();
+        HttpJob* job = nullptr;          // the request in work
+        std::unique_ptr<Course> course;  // its answer, while that is passed on as it comes
+        double usedMs = 0;               // when the last one came
         std::unique_ptr<Coming> coming;
 
-        bool rests() const { return job == nullptr && coming->rests(); }
+        bool busy() const { return job != nullptr || course != nullptr; }
+        bool rests() const { return !busy() && coming->rests(); }
     };
     std::map<evhttp_connection*, Client> connections_;  // that have sent a request
     // Those that have not, since when. evhttp shows a connection only with its first request: a reference to
--- a/src/http/node_link.cpp
+++ b/src/http/node_link.cpp
@@ -16,18 +16,40 @@
 void NodeLink::start(const NodeRequest& request, double timeoutMs, Over over) {
     hold(0);
     reader_.emplace(limits_);
+    sink_ = request.sink;
+    passing_ = false;
     begin(timeoutMs, std::move(over));
     writeLast(encode(request, node()));
 }
 
 void NodeLink::hold(std::size_t bytes) { counters_.answerBytes += bytes - std::exchange(held_, bytes); }
 
+// A long one is not held: more of them may come at once than there is memory for. Its first bytes are what
+// its client waits for; from then on there is no other attempt.
+bool NodeLink::pass(bool whole) {
+    AnswerReader& answer = *reader_;
+    if (sink_ == nullptr || answer.code != 200 || !answer.headCame()) return true;
+    if (!passing_) {
+        const bool sized = !answer.chunked();
+        const std::uint64_t length = answer.body.size() + (sized ? answer.left() : 0);
+        if (length <= limits_.passFrom) return true;
+        passing_ = true;
+        wait(limits_.passStillMs);
+        if (!sink_->begins(answer.contentType, sized ? std::optional(length) : std::nullopt)) return false;
+    }
+    if (!whole) wait(limits_.passStillMs);
+    if (!answer.body.empty()) sink_->piece(std::exchange(answer.body, {}));
+    return true;
+}
+
 void NodeLink::arrived(std::string_view& in) {
     AnswerReader& answer = *reader_;
     const auto got = answer.take(in);
-    hold(got == AnswerReader::Got::more ? answer.body.size() : 0);
     if (got == AnswerReader::Got::bad) return spoil();
-    if (counters_.answerBytes > limits_.answersHeld) {
+    if (!pass(got == AnswerReader::Got::whole)) return;
+    hold(got == AnswerReader::Got::more ? answer.body.size() : 0);
+    if (answer.body.size() > limits_.answerBody) return spoil();
+    if (counters_.answerBytes > limits_.answersHeld && !passing_) {
         counters_.add("answer_no_memory");
         return spoil();
     }
--- a/src/http/node_link.h
+++ b/src/http/node_link.h
@@ -1,6 +1,7 @@
 // Requests to storage nodes over HTTP/1.1.
 #pragma once
 
+#include <cstdint>
 #include <optional>
 #include <string>
 #include <utility>
@@ -11,7 +12,18 @@
 
 namespace martencove {
 
+/// Where a long answer goes as it comes. Its end is told as that of any work.
+class AnswerSink {
+public:
+    virtual ~AnswerSink() = default;
+    /// A good answer begins; `length`: of its body, nothing where that is not known. False: it is not wanted
+    /// any more, and neither link nor sink may be there.
+    virtual bool begins(const std::string& contentType, std::optional<std::uint64_t> length) = 0;
+    virtual void piece(std::string bytes) = 0;
+};
+
 struct NodeRequest {
+    AnswerSink* sink = nullptr;  ///< null: the answer is held whole
     bool write = false;
     std::string uri;
     std::vector<std::pair<std::string, std::string>> headers;
@@ -37,8 +49,12 @@
     void arrived(std::string_view& in) override;
 
     void hold(std::size_t bytes);
+    /// Passes on what has come of a long answer. False: this link may be gone.
+    [[nodiscard]] bool pass(bool whole);
 
     std::optional<AnswerReader> reader_;  // of the present request
+    AnswerSink* sink_ = nullptr;          // of it
+    bool passing_ = false;                // it has begun
     std::size_t held_ = 0;                // of its answer, as counted
 };
 
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -37,6 +37,14 @@
     bufferevent_disable(socket_.get(), EV_READ | EV_WRITE);
 }
 
+void Link::flow(bool on) {
+    if (!over_) return;
+    on ? bufferevent_enable(socket_.get(), EV_READ) : bufferevent_disable(socket_.get(), EV_READ);
+    on ? wait(limits_.passStillMs) : timeout_.stop();
+}
+
+void Link::wait(double stillMs) { timeout_.start(stillMs); }
+
 void Link::begin(double timeoutMs, Over over) {
     over_ = std::move(over);
     settled_ = begun_ = sent_ = written_ = false;
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -38,6 +38,8 @@
     [[nodiscard]] bool closed() const { return closed_; }
     /// Gives up what is in work and says nothing any more.
     void stop();
+    /// Whether what the other side sends is read. What has come by then is still told.
+    void flow(bool on);
 
 protected:
     /// Begins the time-outs of new work, and dials where it is not up. `over` is called once, from the loop.
@@ -47,6 +49,8 @@
     void write(const std::string& bytes);
     /// The same with the last of the work's bytes: once they are written, it may run.
     void writeLast(const std::string& bytes);
+    /// From now on the work has no time of its own: it is broken once nothing has come for so long.
+    void wait(double stillMs);
     /// The work is over; told once arrived() has returned.
     void settle(Reply reply, bool keep);
     /// What the other side sent makes no sense: the connection is of no use any more.
--- a/src/net/link_pool.h
+++ b/src/net/link_pool.h
@@ -30,6 +30,10 @@
     Exchange& operator=(const Exchange&) = delete;
     /// Whether a byte of the work has left.
     [[nodiscard]] bool begun() const { return link_ && link_->begun(); }
+    /// Whether what the node sends is read.
+    void flow(bool on) {
+        if (link_) link_->flow(on);
+    }
 
 private:
     friend class LinkPool<Wire>;
@@ -39,11 +43,11 @@
 
 /// Gives up an attempt of which no byte has left, among those on their way; false: it is not there, or has
 /// begun.
-template <typename Wire>
-[[nodiscard]] bool withdrawFrom(std::map<int, std::unique_ptr<Exchange<Wire>>>& exchanges, int attempt) {
-    const auto at = exchanges.find(attempt);
-    if (at == exchanges.end() || at->second->begun()) return false;
-    exchanges.erase(at);
+template <typename Way>
+[[nodiscard]] bool withdrawFrom(std::map<int, std::unique_ptr<Way>>& ways, int attempt) {
+    const auto at = ways.find(attempt);
+    if (at == ways.end() || at->second->begun()) return false;
+    ways.erase(at);
     return true;
 }
 
--- /dev/null
+++ b/tests/program/long_test.cpp
@@ -0,0 +1,142 @@
+// Answers that are too long to be held: they go on to the client as they come.
+#include <doctest/doctest.h>
+
+#include "world.h"
+
+using namespace martencove::test;
+
+namespace {
+
+constexpr std::size_t kLong = 32 * 1024 * 1024;
+
+std::string longBody(std::size_t bytes) {
+    std::string out(bytes, ' ');
+    for (std::size_t i = 0; i < bytes; ++i) out[i] = static_cast<char>('a' + (i * 7 + i / 1013) % 26);
+    return out;
+}
+
+struct LongNode {
+    explicit LongNode(HttpNode::Answer answer) : node(world.base.get(), std::move(answer)) {
+        world.config["known"]["hosts"].push_back(world.entry("s-1", node.listener.address, 5, "ready"));
+        world.config["limits"] = {{"memory_mb", 16}, {"sockets", 512}};
+        world.start();
+    }
+    World world;
+    HttpNode node;
+};
+
+std::string head(std::size_t length) {
+    return "HTTP/1.1 200 OK\r\nContent-Type: x/y\r\nContent-Length: " + std::to_string(length) + "\r\n\r\n";
+}
+
+}  // namespace
+
+// Guards against answers refused, or held, that are longer than what memory there is for them.
+TEST_CASE("long answer: 32 MB come whole with 16 MB of memory, and no more is read than the client takes") {
+    const std::string body = longBody(kLong);
+    LongNode t([&](Wire& wire, const HttpText&) { wire.send(head(kLong) + body); });
+    Wire& client = t.world.connect();
+    client.read(false);
+    client.send(t.world.request("0000000000000001"));
+    REQUIRE(t.world.until([&] { return t.world.counter("answer_passed_on") == 1; }));
+    (void)t.world.until([] { return false; }, 200);
+    CHECK(t.world.counter("answer_bytes") < 512 * 1024);  // and what the sockets take
+    CHECK(t.world.counter("attempt_served") == 1);
+    client.read(true);
+    std::optional<HttpText> answer;
+    REQUIRE(t.world.until([&] { return (answer = takeHttp(client.got)).has_value() || client.closed; }));
+    REQUIRE(answer);
+    CHECK(answer->code() == 200);
+    CHECK(answer->header("Content-Type") == "x/y");
+    CHECK(answer->body == body);
+    REQUIRE(t.world.until([&] { return t.world.counter("answer_bytes") == 0; }));
+    // Both connections go on.
+    t.world.rest();
+    t.node.answer = serve;
+    client.send(t.world.request("0000000000000002"));
+    REQUIRE(t.world.until([&] { return (answer = takeHttp(client.got)).has_value() || client.closed; }));
+    REQUIRE(answer);
+    CHECK(answer->code() == 200);
+    CHECK(t.node.listener.wires.size() == 1);
+    CHECK(t.world.end() == 0);
+}
+
+TEST_CASE("long answer: in chunks it goes on in chunks") {
+    const std::string piece = longBody(40'000);
+    LongNode t([&](Wire& wire, const HttpText&) {
+        wire.send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int i = 0; i < 50; ++i) wire.send("9c40\r\n" + piece + "\r\n");
+        wire.send("0\r\n\r\n");
+    });
+    Wire& client = t.world.connect();
+    client.send(t.world.request("0000000000000001"));
+    REQUIRE(t.world.until([&] { return client.got.ends_with("\r\n0\r\n\r\n"); }));
+    CHECK(client.got.find("Transfer-Encoding: chunked") != std::string::npos);
+    std::string text = client.got.substr(client.got.find("\r\n\r\n") + 4), body;
+    for (std::size_t size = 1; size > 0;) {
+        size = std::stoul(text, nullptr, 16);
+        const std::size_t begin = text.find("\r\n") + 2;
+        body += text.substr(begin, size);
+        text = text.substr(begin + size + 2);
+    }
+    REQUIRE(body.size() == 50 * piece.size());
+    CHECK(body.substr(49 * piece.size()) == piece);
+    CHECK(t.world.counter("attempt_served") == 1);
+}
+
+// Guards against a break that looks like an end, and against a second attempt behind half an answer.
+TEST_CASE("long answer: a break in the middle is one that the client can tell") {
+    Wire* held = nullptr;
+    LongNode t([&](Wire& wire, const HttpText&) { held = &wire; });
+    Wire& client = t.world.connect();
+    client.send(t.world.request("0000000000000001"));
+    REQUIRE(t.world.until([&] { return held != nullptr; }));
+    SUBCASE("with a length") { held->send(head(1'000'000) + longBody(300'000)); }
+    SUBCASE("in chunks") {
+        held->send("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n");
+        for (int i = 0; i < 10; ++i) held->send("7530\r\n" + longBody(30'000) + "\r\n");
+    }
+    REQUIRE(t.world.until([&] { return client.got.size() > 250'000; }));
+    CHECK_FALSE(client.closed);
+    held->close();
+    REQUIRE(t.world.until([&] { return client.closed; }));
+    CHECK_FALSE(client.got.ends_with("0\r\n\r\n"));
+    CHECK(client.got.size() < 400'000);
+    CHECK(t.world.counter("answer_cut") == 1);
+    CHECK(t.node.requests.size() == 1);
+    CHECK(t.world.end() == 0);
+}
+
+TEST_CASE("long answer: what breaks before its first bytes is tried again") {
+    bool first = true;
+    LongNode t([&](Wire& wire, const HttpText&) {
+        std::exchange(first, false) ? wire.close() : wire.send(head(300'000) + longBody(300'000));
+    });
+    CHECK(t.world.ask(t.world.request("0000000000000001")).body == longBody(300'000));
+    CHECK(t.node.requests.size() == 2);
+}
+
+TEST_CASE("long answer: a client that leaves ends it, and SIGTERM waits for its last byte") {
+    Wire* held = nullptr;
+    LongNode t([&](Wire& wire, const HttpText&) { held = &wire; });
+    Wire& client = t.world.connect();
+    client.send(t.world.request("0000000000000001"));
+    REQUIRE(t.world.until([&] { return held != nullptr; }));
+    held->send(head(200'000) + longBody(100'000));
+    REQUIRE(t.world.until([&] { return client.got.size() > 100'000; }));
+    SUBCASE("leaves") {
+        client.close();
+        REQUIRE(t.world.until([&] { return held->closed; }));
+    }
+    SUBCASE("SIGTERM") {
+        t.world.signal(SIGTERM);
+        (void)t.world.until([] { return false; }, 1200);  // past the listener's end
+        CHECK(t.world.running());
+        held->send(longBody(100'000));
+        std::optional<HttpText> answer;
+        REQUIRE(t.world.until([&] { return (answer = takeHttp(client.got)).has_value() || client.closed; }));
+        REQUIRE(answer);
+        CHECK(answer->body.size() == 200'000);
+    }
+    CHECK(t.world.end() == 0);
+}
