--- a/src/http/answer.cpp
+++ b/src/http/answer.cpp
@@ -14,6 +14,11 @@
 }
 
 AnswerReader::Got AnswerReader::step(std::string_view& in) {
+    if (part_ == Part::untilEnd) {
+        body += in;
+        in.remove_prefix(in.size());
+        return Got::more;
+    }
     if (part_ == Part::body) return bytes(in, Part::done);
     if (part_ == Part::chunk) return bytes(in, Part::chunkEnd);
     if (const Got got = takeLine(in); got != Got::whole) return got;
@@ -102,8 +107,11 @@
     }
     const bool none = code == 204 || code == 304;
     if (sized_ && chunked_) return Got::bad;
-    // A body that only the connection's end would end cannot be told from one that broke.
-    if (!none && !sized_ && !chunked_) return Got::bad;
+    if (!none && !sized_ && !chunked_) {
+        keepAlive = false;
+        part_ = Part::untilEnd;
+        return Got::whole;
+    }
     if (left_ > limits_.passMost) return Got::bad;
     part_ = none ? Part::done : chunked_ ? Part::chunkSize : Part::body;
     return Got::whole;
--- a/src/http/answer.h
+++ b/src/http/answer.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -19,11 +20,14 @@
     /// Takes what belongs to the answer off the front of `in`. 1xx answers before it are passed over.
     Got take(std::string_view& in);
 
-    /// Its status and headers have come, and its body has a length, or chunks.
+    /// Its status and headers have come.
     [[nodiscard]] bool headCame() const { return part_ > Part::headers; }
-    /// Of a body that is not in chunks, what is still to come.
-    [[nodiscard]] std::uint64_t left() const { return left_; }
-    [[nodiscard]] bool chunked() const { return chunked_; }
+    /// Of a body whose length was told, what is still to come.
+    [[nodiscard]] std::optional<std::uint64_t> left() const {
+        return sized_ ? std::optional(left_) : std::nullopt;
+    }
+    /// Neither a length nor chunks: it is whole once the node ends the connection. A reset is no end.
+    [[nodiscard]] bool untilEnd() const { return part_ == Part::untilEnd; }
 
     // Of a whole answer, `body` but for what was taken from it meanwhile:
     int code = 0;
@@ -33,7 +37,7 @@
     std::string body;
 
 private:
-    enum class Part { status, headers, body, chunkSize, chunk, chunkEnd, trailers, done };
+    enum class Part { status, headers, body, untilEnd, chunkSize, chunk, chunkEnd, trailers, done };
 
     Got step(std::string_view& in);
     Got takeLine(std::string_view& in);
--- a/src/http/node_link.cpp
+++ b/src/http/node_link.cpp
@@ -30,18 +30,27 @@
     AnswerReader& answer = *reader_;
     if (sink_ == nullptr || answer.code != 200 || !answer.headCame()) return true;
     if (!passing_) {
-        const bool sized = !answer.chunked();
-        const std::uint64_t length = answer.body.size() + (sized ? answer.left() : 0);
+        const auto left = answer.left();
+        const std::uint64_t length = answer.body.size() + left.value_or(0);
         if (length <= limits_.passFrom) return true;
         passing_ = true;
         wait(limits_.passStillMs);
-        if (!sink_->begins(answer.contentType, sized ? std::optional(length) : std::nullopt)) return false;
+        if (!sink_->begins(answer.contentType, left ? std::optional(length) : std::nullopt)) return false;
     }
     if (!whole) wait(limits_.passStillMs);
     if (!answer.body.empty()) sink_->piece(std::exchange(answer.body, {}));
     return true;
 }
 
+void NodeLink::closes() {
+    AnswerReader& answer = *reader_;
+    if (!answer.untilEnd()) return;
+    if (!pass(true)) return;
+    settle({answer.code == 200 ? Ending::served : Ending::error, std::move(answer.body),
+            std::move(answer.contentType)},
+           false);
+}
+
 void NodeLink::arrived(std::string_view& in) {
     AnswerReader& answer = *reader_;
     const auto got = answer.take(in);
--- a/src/http/node_link.h
+++ b/src/http/node_link.h
@@ -47,6 +47,7 @@
 
 private:
     void arrived(std::string_view& in) override;
+    void closes() override;
 
     void hold(std::size_t bytes);
     /// Passes on what has come of a long answer. False: this link may be gone.
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -78,6 +78,7 @@
     auto* self = static_cast<Link*>(arg);
     if ((what & BEV_EVENT_CONNECTED) != 0) return self->dial_.stop();
     self->closed_ = true;
+    if ((what & BEV_EVENT_EOF) != 0 && self->over_ && !self->settled_) self->closes();
     self->fail(Ending::broken);  // what came before the close still counts: it has been read
 }
 
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -46,6 +46,8 @@
     void begin(double timeoutMs, Over over);
     /// Takes off the front of `in` what belongs to the work, and settles it when it is over.
     virtual void arrived(std::string_view& in) = 0;
+    /// The other side has sent all that it will, while work is under way: settles it where that is its end.
+    virtual void closes() {}
     void write(const std::string& bytes);
     /// The same with the last of the work's bytes: once they are written, it may run.
     void writeLast(const std::string& bytes);
--- a/tests/program/world.cpp
+++ b/tests/program/world.cpp
@@ -125,6 +125,13 @@
     (void)!::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
     shutdown(fd, SHUT_WR);
 }
+void Wire::sendAndReset(const std::string& bytes) {
+    const evutil_socket_t fd = bufferevent_getfd(socket_.get());
+    (void)!::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL);
+    const linger at0{1, 0};
+    setsockopt(fd, SOL_SOCKET, SO_LINGER, &at0, sizeof at0);
+    socket_.reset();
+}
 void Wire::send(const std::string& bytes) {
     if (socket_) bufferevent_write(socket_.get(), bytes.data(), bytes.size());
 }
@@ -152,6 +159,19 @@
     const std::size_t end = text.find("\r\n\r\n");
     if (end == text.npos) return std::nullopt;
     HttpText out{text.substr(0, end + 2), ""};
+    if (out.header("Transfer-Encoding") == "chunked") {
+        for (std::size_t at = end + 4;;) {
+            const std::size_t line = text.find("\r\n", at);
+            if (line == text.npos) return std::nullopt;
+            const std::size_t size = std::stoul(text.substr(at, line - at), nullptr, 16);
+            if (text.size() < line + 2 + size + 2) return std::nullopt;
+            out.body += text.substr(line + 2, size);
+            at = line + 2 + size + 2;
+            if (size > 0) continue;
+            text.erase(0, at);
+            return out;
+        }
+    }
     const std::string length = out.header("Content-Length");
     const std::size_t size = length.empty() ? 0 : std::stoul(length);
     if (text.size() < end + 4 + size) return std::nullopt;
--- a/tests/program/world.h
+++ b/tests/program/world.h
@@ -41,11 +41,12 @@
     Wire(event_base* base, evutil_socket_t accepted);  ///< a server's
     void send(const std::string& bytes);
     void close() { socket_.reset(); }
-    void sendLast(const std::string& bytes);  ///< at once, and ends its sending
-    void read(bool on);                       ///< as a side does that takes what has come, or leaves it
-    std::string got;                          ///< what has come and nobody has taken
-    bool closed = false;                      ///< by the other side
-    bool connected = false;                   ///< as a client
+    void sendLast(const std::string& bytes);      ///< at once, and ends its sending
+    void sendAndReset(const std::string& bytes);  ///< at once, and breaks the connection off
+    void read(bool on);                           ///< as a side does that takes what has come, or leaves it
+    std::string got;                              ///< what has come and nobody has taken
+    bool closed = false;                          ///< by the other side
+    bool connected = false;                       ///< as a client
     std::function<void(Wire&)> onData;
 
 private:
