Take the rest after a silent list call over at SIGHUP, with the rest of the grace

Limits::retune took over grace, waits and rests of list calls, but not silentRestMs, so that where lists are asked for a grace changed at SIGHUP held for each stage but the first call after a silence until the next start. The test names each figure that follows from the grace and failed without the line.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -98,6 +98,7 @@
         grace = next.grace;
         watchWaitMs = next.watchWaitMs;
         watchGraceMs = next.watchGraceMs;
+        silentRestMs = next.silentRestMs;
         list = next.list;
         drainMostMs =
             std::max(drainMostMs, next.drainMostMs);  // requests of a dropped class may still be open
--- a/tests/core/grace_test.cpp
+++ b/tests/core/grace_test.cpp
@@ -26,3 +26,19 @@
     CHECK(little.silentMs == limits.agentLateMs);  // no answer is expected sooner than one can come
     CHECK(divideGrace(20, limits.agentLateMs).mayFail() < 0);
 }
+
+// Guards against a grace that changes at SIGHUP for some stages of the path and not for the others.
+TEST_CASE("grace: all that follows from it is taken over at once") {
+    martencove::Limits now, next;
+    next.grace = divideGrace(700, 10);
+    next.watchWaitMs = 1;
+    next.watchGraceMs = 2;
+    next.silentRestMs = 3;
+    next.list.mostMs = 4;
+    now.retune(next);
+    CHECK(now.grace.wholeMs == 700);
+    CHECK(now.watchWaitMs == 1);
+    CHECK(now.watchGraceMs == 2);
+    CHECK(now.silentRestMs == 3);
+    CHECK(now.list.mostMs == 4);
+}
