Free the request of a long answer whose client's connection broke by itself

The sanitized suite found it (LeakSanitizer, evhttp_request_new, 1,110 bytes, 'long answer: a client that leaves'): evhttp lets go of a request that it has not finished when a connection breaks under it, and its owner frees it, as HttpJob::disconnected() does; the connection's Course did not. Ruled out: a break by the node, where the request goes with its connection (same test file, clean).

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -355,7 +355,10 @@
     const auto at = self->connections_.find(connection);
     if (at == self->connections_.end()) return;
     HttpJob* job = at->second.job;
+    evhttp_request* passing = at->second.course ? at->second.course->request() : nullptr;
     self->connections_.erase(at);
+    // evhttp has let go of a request whose connection broke by itself.
+    if (passing != nullptr && evhttp_request_get_connection(passing) == nullptr) evhttp_request_free(passing);
     if (job != nullptr) job->disconnected();
 }
 
