Pass over volumes of plans that a next process does not have: it would crash

Read again: a volume that goes over carries its plan's number, which the end of a round looks up, while a next process may start with fewer plans than the one before (plans that are dropped wait for a start). The new test ended with SIGSEGV before; such a volume is now passed over, with its demand. Ruled out: classes, of which nothing but their worth goes over, and limits, whose levels are by volume and are bounded by the plan of the next request.

--- a/src/limedrum/decide.cpp
+++ b/src/limedrum/decide.cpp
@@ -968,7 +968,7 @@
 
     // ---- What this host knows ----
 
-    Learned learned() { return {fleet_, volumes_, shares_, tills_, taken_, extras_, fillMs_}; }
+    Learned learned() { return {set_, fleet_, volumes_, shares_, tills_, taken_, extras_, fillMs_}; }
 
     Settings set_;
     Random random_;
--- a/src/limedrum/memory.cpp
+++ b/src/limedrum/memory.cpp
@@ -337,6 +337,9 @@
         for (const auto figure : kNodeFigures) at->second.*figure = told.*figure;
         for (const auto time : kNodeTimes) at->second.*time = std::min(told.*time, lastMs);
     }
+    // The next process may have started with fewer plans.
+    std::erase_if(memory.volumes,
+                  [&](const auto& v) { return v.second.plan >= static_cast<int>(to.settings.plans.size()); });
     for (auto& [id, told] : memory.cells) {
         const auto at = to.fleet.cells.find(id);
         if (at == to.fleet.cells.end() || at->second.holders.empty()) continue;
--- a/src/limedrum/memory.h
+++ b/src/limedrum/memory.h
@@ -19,6 +19,7 @@
 
 /// Where a host keeps it.
 struct Learned {
+    const Settings& settings;
     Fleet& fleet;
     std::unordered_map<std::string, Volume>& volumes;
     std::map<BudgetId, Share>& shares;
--- a/tests/limedrum/memory_test.cpp
+++ b/tests/limedrum/memory_test.cpp
@@ -106,6 +106,20 @@
     CHECK(unitsOf(old, "w") == 0);
 }
 
+// Guards against a plan's number that the next process does not have: it starts with plans of its own.
+TEST_CASE("memory: a volume of a plan that is no more is passed over") {
+    Settings more = plainSettings();
+    more.plans.resize(20'000, {.rate = 10});
+    Driver old(more);
+    RequestEvent r = request("a", 1000);
+    r.planNo = 19'999;
+    old.give(0, r);
+    Driver next(plainSettings(), 2, 10);
+    REQUIRE(next.takeOver(old.handOver()));
+    CHECK(next.handOver().find("\nvolume v ") == std::string::npos);
+    next.pass(4100, 50);  // two rounds' ends look at it
+}
+
 TEST_CASE("memory: a text that is cut, spoilt, stale or absurd changes nothing") {
     Taught t;
     const auto taken = [&](const std::string& text) {
