Let attempts go out by a time or never: a keyed repeat reached its node after the window

Ruled out: the group (one server holds a shard, the copy goes to the same cell), a second attempt beside the first (r.out is 0), a library's retry (the links write each request once).

Now the module says with each attempt by when its last byte has to leave (Send::startWithinMs), and the link ends one that has not: it never ran. In the same place two things that were fixed at the decision: Req-Deadline-Ms is written once the connection is up, with what is left then; and bytes leave in the turn that decides, as far as the socket takes them, instead of the next, TCP_NODELAY on.

--- a/include/limedrum/scheduler.h
+++ b/include/limedrum/scheduler.h
@@ -14,6 +14,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
@@ -156,6 +157,8 @@
     RequestId id;
     NodeId node = 0;
     double timeoutMs = 0;
+    /// Its last byte leaves within so long, or never: a repeat that comes later might run twice.
+    double startWithinMs = std::numeric_limits<double>::infinity();
 };
 struct Cancel {
     RequestId id;
--- a/src/core/facade.cpp
+++ b/src/core/facade.cpp
@@ -117,7 +117,8 @@
         if (const auto* send = std::get_if<limedrum::Send>(&action)) {
             const auto at = open_.find(send->id);
             if (at != open_.end())
-                todo.attempts.push_back({send->id, at->second++, send->node, send->timeoutMs});
+                todo.attempts.push_back(
+                    {send->id, at->second++, send->node, {send->timeoutMs, send->startWithinMs}});
         } else if (const auto* cancel = std::get_if<limedrum::Cancel>(&action)) {
             todo.cancels.push_back({cancel->id, cancel->attempt});
         } else if (const auto* refuse = std::get_if<limedrum::Refuse>(&action)) {
--- a/src/core/values.h
+++ b/src/core/values.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <limits>
 #include <optional>
 #include <string>
 #include <vector>
@@ -24,12 +25,19 @@
     int hosts = 1;   ///< schedulers through which the volume's requests come
 };
 
+/// What an attempt's time allows, in ms from when it is decided.
+struct AttemptTimes {
+    double timeoutMs = 0;  ///< for its answer
+    /// For its last byte to leave: one that has not by then may not run any more, and never ran.
+    double startWithinMs = std::numeric_limits<double>::infinity();
+};
+
 /// One try of a request at a storage node; a request's attempts are numbered from 0.
 struct Attempt {
     RequestId id;
     int number = 0;
     NodeId node = 0;
-    double timeoutMs = 0;
+    AttemptTimes times;
 };
 struct AttemptName {
     RequestId id;
--- a/src/http/course.cpp
+++ b/src/http/course.cpp
@@ -31,8 +31,8 @@
         (void)leaving.release();  // the buffer's now
 }
 
-bool Course::start(const Address& node, const NodeRequest& request, double timeoutMs) {
-    exchange_ = pool_.send(node, request, timeoutMs, [this](Reply reply) { ended(std::move(reply)); });
+bool Course::start(const Address& node, const NodeRequest& request, const AttemptTimes& times) {
+    exchange_ = pool_.send(node, request, times, [this](Reply reply) { ended(std::move(reply)); });
     return exchange_ != nullptr;
 }
 
--- a/src/http/course.h
+++ b/src/http/course.h
@@ -31,7 +31,7 @@
     Course(NodePool& pool, const Limits& limits, Counters& counters, Owner owner)
         : pool_(pool), limits_(limits), counters_(counters), owner_(std::move(owner)) {}
 
-    [[nodiscard]] bool start(const Address& node, const NodeRequest& request, double timeoutMs);
+    [[nodiscard]] bool start(const Address& node, const NodeRequest& request, const AttemptTimes& times);
     [[nodiscard]] bool begun() const { return exchange_->begun(); }
 
     /// The answer's head goes to the client; pieces follow.
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -46,7 +46,7 @@
                           [this, number](Reply reply) { ended(number, std::move(reply)); }});
         // An older client could not tell a long answer that breaks from one that ends.
         if (request_ != nullptr && request_->major == 1 && request_->minor >= 1) request.sink = course.get();
-        if (!address || !course->start(*address, request, attempt.timeoutMs))
+        if (!address || !course->start(*address, request, attempt.times))
             return front_.desk_.over(id(), number, Ending::notConnected);
         courses_[number] = std::move(course);
     }
--- a/src/http/node_link.cpp
+++ b/src/http/node_link.cpp
@@ -1,25 +1,35 @@
 #include "http/node_link.h"
 
+#include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace martencove {
 
-std::string encode(const NodeRequest& request, const Address& node) {
+std::string encode(const NodeRequest& request, const Address& node, double deadlineMs) {
     std::string out =
         (request.write ? "PUT " : "GET ") + request.uri + " HTTP/1.1\r\nHost: " + node.text() + "\r\n";
     for (const auto& [name, value] : request.headers)
         out.append(name).append(": ").append(value).append("\r\n");
+    out += "Req-Deadline-Ms: " + std::to_string(std::max(1L, std::lround(std::floor(deadlineMs)))) + "\r\n";
     if (request.write) out += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
     return out.append("\r\n").append(request.body);
 }
 
-void NodeLink::start(const NodeRequest& request, double timeoutMs, Over over) {
+void NodeLink::start(const NodeRequest& request, const AttemptTimes& times, Over over) {
     hold(0);
     reader_.emplace(limits_);
     sink_ = request.sink;
     passing_ = false;
-    begin(timeoutMs, std::move(over));
-    writeLast(encode(request, node()));
+    begin(times, std::move(over));
+    if (up()) return writeLast(encode(request, node(), leftMs()));
+    waiting_ = request;
+}
+
+// What it tells the node of its time is right only now.
+void NodeLink::cameUp() {
+    writeLast(encode(*waiting_, node(), leftMs()));
+    waiting_.reset();
 }
 
 void NodeLink::hold(std::size_t bytes) { counters_.answerBytes += bytes - std::exchange(held_, bytes); }
--- a/src/http/node_link.h
+++ b/src/http/node_link.h
@@ -29,7 +29,8 @@
     std::vector<std::pair<std::string, std::string>> headers;
     std::string body;
 };
-[[nodiscard]] std::string encode(const NodeRequest& request, const Address& node);
+/// `deadlineMs`: what is left of its time, as the node is told.
+[[nodiscard]] std::string encode(const NodeRequest& request, const Address& node, double deadlineMs);
 
 class NodeLink final : public Link {
 public:
@@ -43,9 +44,10 @@
     ~NodeLink() override { hold(0); }
 
     [[nodiscard]] bool fits(const Address& to, const NodeRequest&) const { return node() == to; }
-    void start(const NodeRequest& request, double timeoutMs, Over over);
+    void start(const NodeRequest& request, const AttemptTimes& times, Over over);
 
 private:
+    void cameUp() override;
     void arrived(std::string_view& in) override;
     void closes() override;
 
@@ -53,6 +55,7 @@
     /// Passes on what has come of a long answer. False: this link may be gone.
     [[nodiscard]] bool pass(bool whole);
 
+    std::optional<NodeRequest> waiting_;  // for the connection to come up
     std::optional<AnswerReader> reader_;  // of the present request
     AnswerSink* sink_ = nullptr;          // of it
     bool passing_ = false;                // it has begun
--- a/src/limedrum/decide.cpp
+++ b/src/limedrum/decide.cpp
@@ -157,10 +157,7 @@
         for (const NodeEntry& entry : event.entries) {
             Node& n = fleet_.list(entry);
             const double boot = finiteOr(entry.bootMs, 0);
-            if (boot > n.bootMs) {
-                n.bootMs = boot;
-                n.doubtedMs = 0;
-            }
+            if (boot > n.bootMs) n.bootMs = boot, n.doubtedMs = 0;
         }
     }
 
@@ -506,11 +503,13 @@
 
     // `ranMs`: when the first attempt that may have run was sent.
     bool mayRepeat(const Request& r, double ranMs) const {
-        if (r.attempts == 0) return true;
-        if (r.attempts >= r.cap) return false;
+        return r.attempts == 0 || (r.attempts < r.cap && now_ < repeatByMs(r, ranMs));
+    }
+    // By when a repeat's last byte has to be out, whatever it waits for on its way.
+    double repeatByMs(const Request& r, double ranMs) const {
         const ClassSettings& cls = classOf(r);
-        if (ranMs == kNever || cls.repeat == Repeat::safe) return true;
-        return cls.repeat == Repeat::keyed && now_ - ranMs < cls.repeatWindowMs - 2 * set_.tickMs;
+        if (ranMs == kNever || cls.repeat == Repeat::safe) return kNever;
+        return cls.repeat == Repeat::keyed ? ranMs + cls.repeatWindowMs - 2 * set_.tickMs : -kNever;
     }
 
     bool budgetAllows() {
@@ -551,7 +550,7 @@
         fleet_.active.insert(r.cell);
         ++r.attempts;
         ++r.out;
-        actions_.push_back(Send{r.told.id, n.id, r.told.expiresMs - now_});
+        actions_.push_back(Send{r.told.id, n.id, r.told.expiresMs - now_, repeatByMs(r, r.ranMs) - now_});
     }
 
     void pump(CellId cell) {
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -234,7 +234,7 @@
         if (at != front_.config_.nodes.end()) {
             const Work work{export_.name, command_.command == Command::write, command_.offset,
                             command_.length, command_.data};
-            exchange = front_.pool_.send(at->second, work, attempt.timeoutMs,
+            exchange = front_.pool_.send(at->second, work, attempt.times,
                                          [this, number](Reply reply) { ended(number, std::move(reply)); });
         }
         if (!exchange) return front_.desk_.over(RequestId(id_), number, Ending::notConnected);
--- a/src/nbd/node_link.cpp
+++ b/src/nbd/node_link.cpp
@@ -2,10 +2,10 @@
 
 namespace martencove::nbd {
 
-void NodeLink::start(const Work& work, double timeoutMs, Over over) {
+void NodeLink::start(const Work& work, const AttemptTimes& times, Over over) {
     work_ = work;
     ended_ = false;
-    begin(timeoutMs, std::move(over));
+    begin(times, std::move(over));
     if (state_ == State::ready) command();
 }
 
--- a/src/nbd/node_link.h
+++ b/src/nbd/node_link.h
@@ -30,7 +30,7 @@
     [[nodiscard]] bool fits(const Address& to, const Work& work) const {
         return node() == to && export_ == work.exportName;
     }
-    void start(const Work& work, double timeoutMs, Over over);
+    void start(const Work& work, const AttemptTimes& times, Over over);
 
 private:
     enum class State { greeting, structured, go, ready };
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -1,8 +1,12 @@
 #include "net/link.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
+#include <cmath>
 #include <utility>
 
 namespace martencove {
@@ -45,12 +49,18 @@
 
 void Link::wait(double stillMs) { timeout_.start(stillMs); }
 
-void Link::begin(double timeoutMs, Over over) {
+void Link::begin(const AttemptTimes& times, Over over) {
     over_ = std::move(over);
     settled_ = begun_ = sent_ = written_ = false;
-    timeout_.start(timeoutMs);
-    if (std::exchange(dialled_, true)) return;
-    dial_.start(limits_.dialMs);
+    const double now = clock_.nowMs();
+    endsMs_ = now + times.timeoutMs;
+    startByMs_ = now + times.startWithinMs;
+    timeout_.start(times.timeoutMs);
+    if (std::exchange(dialled_, true)) {
+        if (std::isfinite(startByMs_)) dial_.start(times.startWithinMs);
+        return;
+    }
+    dial_.start(std::min(limits_.dialMs, times.startWithinMs));
     const sockaddr_in to = node_.socketAddress();
     if (bufferevent_socket_connect(socket_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0)
         dial_.start(0);  // told from the loop, as every end is
@@ -59,8 +69,21 @@
 void Link::write(const std::string& bytes) { bufferevent_write(socket_.get(), bytes.data(), bytes.size()); }
 
 void Link::writeLast(const std::string& bytes) {
+    if (clock_.nowMs() > startByMs_) return dial_.start(0);  // told from the loop, as every end is
     sent_ = true;
-    write(bytes);
+    std::size_t left = 0;
+    if (evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0) {
+        const ssize_t now = send(bufferevent_getfd(socket_.get()), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        left = static_cast<std::size_t>(std::max<ssize_t>(now, 0));  // an error shows with the rest
+    }
+    begun_ = left > 0;
+    if (left == bytes.size()) return lastLeft();
+    bufferevent_write(socket_.get(), bytes.data() + left, bytes.size() - left);
+}
+
+void Link::lastLeft() {
+    written_ = true;
+    dial_.stop();
 }
 
 void Link::settle(Reply reply, bool keep) {
@@ -76,7 +99,15 @@
 
 void Link::happened(bufferevent*, short what, void* arg) {
     auto* self = static_cast<Link*>(arg);
-    if ((what & BEV_EVENT_CONNECTED) != 0) return self->dial_.stop();
+    if ((what & BEV_EVENT_CONNECTED) != 0) {
+        self->up_ = true;
+        const int on = 1;  // the last piece of a request waits for no acknowledgement
+        setsockopt(bufferevent_getfd(self->socket_.get()), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        if (!self->over_) return;
+        self->dial_.stop();
+        if (std::isfinite(self->startByMs_)) self->dial_.start(self->startByMs_ - self->clock_.nowMs());
+        return self->cameUp();
+    }
     self->closed_ = true;
     if ((what & BEV_EVENT_EOF) != 0 && self->over_ && !self->settled_) self->closes();
     self->fail(Ending::broken);  // what came before the close still counts: it has been read
@@ -86,7 +117,7 @@
     auto* self = static_cast<Link*>(arg);
     if (!self->sent_ || info->n_deleted == 0) return;
     self->begun_ = true;
-    if (evbuffer_get_length(buffer) == 0) self->written_ = true;
+    if (evbuffer_get_length(buffer) == 0) self->lastLeft();
 }
 
 void Link::read() {
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -6,6 +6,7 @@
 #include <string>
 #include <string_view>
 
+#include "core/clock.h"
 #include "core/counters.h"
 #include "core/limits.h"
 #include "core/values.h"
@@ -43,13 +44,20 @@
 
 protected:
     /// Begins the time-outs of new work, and dials where it is not up. `over` is called once, from the loop.
-    void begin(double timeoutMs, Over over);
+    void begin(const AttemptTimes& times, Over over);
+    [[nodiscard]] bool up() const { return up_; }
+    /// It has come up under work.
+    virtual void cameUp() {}
+    /// Of the present work's time, in ms.
+    [[nodiscard]] double leftMs() const { return endsMs_ - clock_.nowMs(); }
     /// Takes off the front of `in` what belongs to the work, and settles it when it is over.
     virtual void arrived(std::string_view& in) = 0;
     /// The other side has sent all that it will, while work is under way: settles it where that is its end.
     virtual void closes() {}
     void write(const std::string& bytes);
-    /// The same with the last of the work's bytes: once they are written, it may run.
+    /// The same with the last of the work's bytes: once they are written, it may run. As many as the socket
+    /// takes leave at once, none in a later turn of the loop, by when its client may have gone; and none once
+    /// its time to start is over.
     void writeLast(const std::string& bytes);
     /// From now on the work has no time of its own: it is broken once nothing has come for so long.
     void wait(double stillMs);
@@ -66,18 +74,23 @@
     static void happened(bufferevent*, short what, void* self);
     static void moved(evbuffer* buffer, const evbuffer_cb_info* info, void* self);
     void read();
+    void lastLeft();
     void fail(Ending afterwards);
     void finish();
 
+    const Clock clock_;
     Address node_;
     Owned<bufferevent> socket_;
-    Timer dial_;
+    Timer dial_;  // also of work that has to start by a time
     Timer timeout_;
     Over over_;  // null: nothing in work
     Reply reply_;
     bool settled_ = false;
     bool keep_ = false;
     bool dialled_ = false;
+    bool up_ = false;
+    double endsMs_ = 0;     // the work's time
+    double startByMs_ = 0;  // and that for its last byte to leave
     bool closed_ = false;
     bool begun_ = false;    // a byte of the work has left the socket's buffer here
     bool sent_ = false;     // the work's last byte was handed to the socket
--- a/src/net/link_pool.h
+++ b/src/net/link_pool.h
@@ -71,7 +71,7 @@
     /// `done` is called once, from the loop, unless the exchange is let go first. It may let go of it itself.
     /// Nothing where no more connections are allowed.
     [[nodiscard]] std::unique_ptr<Exchange<Wire>> send(const Address& node, const typename Wire::Work& work,
-                                                       double timeoutMs, Done done) {
+                                                       const AttemptTimes& times, Done done) {
         std::unique_ptr<Wire> link = idleFor(node, work);
         if (!link) {
             if (links_ >= limits_.nodeConnections) giveWay();
@@ -82,7 +82,7 @@
         }
         Wire& started = *link;
         auto exchange = std::make_unique<Exchange<Wire>>(std::move(link), *this);
-        started.start(work, timeoutMs,
+        started.start(work, times,
                       [this, out = exchange.get(), done = std::move(done)](Link&, Reply reply, bool keep) {
                           take(std::move(out->link_), keep);
                           done(std::move(reply));
--- a/tests/limedrum/scheduler_test.cpp
+++ b/tests/limedrum/scheduler_test.cpp
@@ -90,6 +90,27 @@
     EXPECT_EQ(Driver::count<Refuse>(d.all, "late"), 0);
 }
 
+// Guards against a copy that is decided in time and reaches its node when that has forgotten the first one:
+// what it waits for on its way (a connection, a turn of the loop) has to fit in too.
+TEST(Effects, KeyedRepeatSaysByWhenItsLastByteHasToBeOut) {
+    Settings s = plainSettings();
+    s.classes[0].repeat = Repeat::keyed;
+    s.classes[0].repeatWindowMs = 400;
+    s.tickMs = 5;
+    Driver d(s);
+    const auto sent = [&] {
+        for (const Action& a : d.last)
+            if (const auto* send = std::get_if<Send>(&a)) return *send;
+        return Send{};
+    };
+    d.give(100, request("a", 1100));
+    EXPECT_TRUE(std::isinf(sent().startWithinMs));
+    d.outcome(110, "a", 0, 100, Outcome::reset);
+    while (d.sends("a") < 2 && d.nowMs < 490) d.give(d.nowMs + 2, ReminderEvent{1});
+    ASSERT_EQ(d.sends("a"), 2);
+    EXPECT_DOUBLE_EQ(d.nowMs + sent().startWithinMs, 100 + 400 - 2 * 5);
+}
+
 TEST(Effects, KeyedNewObjectStaysInItsCellOnceItMayHaveRun) {
     Settings s = plainSettings();
     s.classes[0].repeat = Repeat::keyed;
