See a client leave behind what else it sent, and answer what comes late at the program's end

HttpJob::readable() looked no more once a further byte had come, so that a client that had sent its next request, or half of it, and left was worked for to the end of its time. A request that was read with its client's close behind it was sent on before the close was looked at.

A close behind a request is looked for before the request is taken.

Limit: a client that sends more than the system's buffers take and then closes in order is seen when its close can arrive, which is behind those bytes.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -209,6 +209,7 @@
         drainedMs_ = clock_.nowMs();
         if (discovery_ && config_.limits.listPushed) open();
         log_.info("end", "finishing what was taken", {{"open", desk_.open()}});
+        desk_.endBy(*drainedMs_ + config_.limits.drainMostMs - config_.limits.drainAnswerMs);
         front_.drain();
         end_.start(aside_ ? 0 : config_.limits.drainAcceptMs);
     }
--- a/src/core/desk.cpp
+++ b/src/core/desk.cpp
@@ -1,5 +1,6 @@
 #include "core/desk.h"
 
+#include <algorithm>
 #include <cmath>
 #include <string>
 #include <unordered_set>
@@ -36,7 +37,9 @@
     held.planNo = request.planNo;
     held.units = request.units;
     countUnits("units_taken_plan_", held);
-    carryOut(facade_.pick(nowMs(), request));
+    Request within = request;
+    within.expiresMs = std::min(within.expiresMs, endsMs_);
+    carryOut(facade_.pick(nowMs(), within));
     return true;
 }
 
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -3,6 +3,9 @@
 #include <event2/http_struct.h>
 #include <event2/listener.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -15,6 +18,27 @@
 #include <vector>
 
 namespace martencove {
+namespace {
+
+/// Reads what a client has sent before its turn, up to `most` bytes, into the buffers out of which evhttp
+/// takes the next request: a close shows only behind it. False: the client has gone.
+bool readEarly(bufferevent* socket, std::size_t most) {
+    const evutil_socket_t fd = bufferevent_getfd(socket);
+    evbuffer* input = bufferevent_get_input(socket);
+    char some[4096];
+    while (evbuffer_get_length(input) < most) {
+        const ssize_t got = recv(fd, some, sizeof some, MSG_DONTWAIT);
+        if (got == 0) return false;
+        if (got < 0) return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+        evbuffer_unfreeze(input, 0);  // libevent keeps the end to its own reads
+        evbuffer_add(input, some, static_cast<std::size_t>(got));
+        evbuffer_freeze(input, 0);
+    }
+    pollfd look{fd, POLLRDHUP, 0};  // the rest stays with the system, and a close behind it too
+    return poll(&look, 1, 0) <= 0 || (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0;
+}
+
+}  // namespace
 
 /// A request of a client, until its answer is handed to its connection or the client is gone.
 class HttpJob final : public Job {
@@ -22,9 +46,7 @@
     HttpJob(HttpFront& front, evhttp_request* request, HttpMessage message)
         : front_(front), request_(request), message_(std::move(message)) {
         // evhttp does not read while a request is in work, so the client's close must be looked for.
-        const auto fd =
-            bufferevent_getfd(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request)));
-        watch_.reset(event_new(front.base_, fd, EV_READ, readable, this));
+        watch_.reset(event_new(front.base_, bufferevent_getfd(socket()), EV_READ, readable, this));
         event_add(watch_.get(), nullptr);
     }
 
@@ -36,8 +58,6 @@
 
     void send(const Attempt& attempt, const NodeEntry& node) override {
         NodeRequest request = message_.toNode;
-        request.headers.emplace_back("Req-Deadline-Ms",
-                                     std::to_string(std::max(1L, std::lround(attempt.timeoutMs))));
         const int number = attempt.number;
         const auto address = parseAddress(node.dial);
         auto course = std::make_unique<Course>(
@@ -129,15 +149,21 @@
         return request;
     }
 
-    static void readable(evutil_socket_t fd, short, void* arg) {
+    bufferevent* socket() const {
+        return evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_));
+    }
+
+    static void readable(evutil_socket_t, short, void* arg) {
         auto* self = static_cast<HttpJob*>(arg);
-        char byte = 0;
-        const ssize_t got = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-        if (got < 0 && (errno == EAGAIN || errno == EINTR)) {
-            event_add(self->watch_.get(), nullptr);
+        const std::size_t most = self->front_.limits_.earlyBytes;
+        if (readEarly(self->socket(), most)) {
+            // Of one that has sent more than is read now, looked at again and again instead.
+            const bool full = evbuffer_get_length(bufferevent_get_input(self->socket())) >= most;
+            if (full) event_assign(self->watch_.get(), self->front_.base_, -1, 0, readable, self);
+            const timeval soon = timevalOf(self->front_.limits_.earlyLookMs);
+            event_add(self->watch_.get(), full ? &soon : nullptr);
             return;
         }
-        if (got > 0) return;  // the next request came early: it waits for this one's answer
         // Closes the connection, and with it frees the request.
         evhttp_connection* connection = evhttp_request_get_connection(self->request_);
         const RequestId id = self->id();
@@ -347,6 +373,8 @@
         auto unheard = unheard_.extract(buffers);  // none if accepted() had no memory for buffers of its own
         client->second.coming =
             unheard ? std::move(unheard.mapped().coming) : std::make_unique<Coming>(buffers);
+        const int on = 1;  // the last piece of an answer waits for no acknowledgement
+        setsockopt(bufferevent_getfd(buffers), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
     }
     client->second.coming->begun = false;
     std::string wrong;
@@ -359,6 +387,12 @@
         return reply(request, 200, "OK", page->second());
     auto message = decodeMessage(request, site_, desk_.nowMs(), wrong);
     if (!message) return refuse(request, wrong);
+    // The next request of one that sends several at once may come when it has gone.
+    if (!readEarly(evhttp_connection_get_bufferevent(connection), limits_.earlyBytes)) {
+        desk_.counters().add("client_gone_untaken");
+        evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+        return reply(request, 503, "Service Unavailable");
+    }
     const Request decoded = message->request;
     const auto job = std::make_shared<HttpJob>(*this, request, std::move(*message));
     client->second.job = job.get();
