Close silent connections at once instead of shutting them down and reading on

What the system already held of a request was then read and taken, and could not be answered: a request that is read after the shutdown and sent on is lost. Now one on which bytes wait unread is passed over, and evhttp closes the others in that moment, as at the end of their time.

No test forces bytes into that moment (the loop reads what is there before it looks); the tests of silent clients and of the bounds on connections pass as before.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -184,12 +184,15 @@
 
 namespace {
 
-/// Whether bytes have come that nobody has read, a request, perhaps, that a close would lose, or an answer
-/// has not been written whole.
-bool hasInput(bufferevent* socket) {
+/// Whether bytes have come that nobody has read: a request, perhaps, that a close would lose.
+bool unread(bufferevent* socket) {
     int waiting = 0;
-    return ioctl(bufferevent_getfd(socket), FIONREAD, &waiting) != 0 || waiting > 0 ||
-           evbuffer_get_length(bufferevent_get_input(socket)) > 0 ||
+    return ioctl(bufferevent_getfd(socket), FIONREAD, &waiting) != 0 || waiting > 0;
+}
+
+/// The same, or it has been read and not taken, or an answer has not been written whole.
+bool hasInput(bufferevent* socket) {
+    return unread(socket) || evbuffer_get_length(bufferevent_get_input(socket)) > 0 ||
            evbuffer_get_length(bufferevent_get_output(socket)) > 0;
 }
 
@@ -264,17 +267,21 @@
     std::vector<std::pair<double, bufferevent*>> silent;
     std::erase_if(unheard_, [](const auto& e) { return letGo(e.first); });
     for (const auto& [buffers, unheard] : unheard_) {
-        if (unheard.sinceMs <= before) silent.emplace_back(unheard.sinceMs, buffers);
+        if (unheard.sinceMs <= before && !unread(buffers)) silent.emplace_back(unheard.sinceMs, buffers);
     }
     // One that goes on with pieces of a request for longer than evhttp's time-out between them is no better.
     for (const auto& [connection, client] : connections_) {
-        if (!client.busy() && client.usedMs <= before - limits_.clientIdleMs)
-            silent.emplace_back(client.usedMs, evhttp_connection_get_bufferevent(connection));
+        bufferevent* buffers = evhttp_connection_get_bufferevent(connection);
+        if (!client.busy() && client.usedMs <= before - limits_.clientIdleMs && !unread(buffers))
+            silent.emplace_back(client.usedMs, buffers);
     }
     std::sort(silent.begin(), silent.end());
     silent.resize(std::min(silent.size(), most));
-    // To evhttp it looks as if the client had closed: it lets go of the connection from the loop.
-    for (const auto& [sinceMs, buffers] : silent) shutdown(bufferevent_getfd(buffers), SHUT_RDWR);
+    // To evhttp its time is out: it closes the connection now. After a shutdown it would first read, and
+    // take, a request that comes in that moment, and could not answer it.
+    for (const auto& [sinceMs, buffers] : silent)
+        bufferevent_trigger_event(buffers, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+    std::erase_if(unheard_, [](const auto& e) { return letGo(e.first); });
     if (!silent.empty()) desk_.counters().add("client_silent", silent.size());
 }
 
