--- a/bench/swap.cpp
+++ b/bench/swap.cpp
@@ -11,7 +11,7 @@
 #include <string>
 #include <vector>
 
-#include "core/desk.h"
+#include "core/dispatcher.h"
 #include "files/node_file.h"
 #include "files/source.h"
 
@@ -44,10 +44,10 @@
           source(base.get(), config(path), clock, limits, counters, log),
           known(source.first()),
           facade(settings(), 1, clock.nowMs(), known),
-          desk(facade, clock, limits, counters,
+          dispatcher(facade, clock, limits, counters,
                {[](double) {}, [](const PeerMessage&) {}, [](const std::string&) {}}, known),
           beat(base.get(), [this] { step(); }) {
-        source.start([this](const NodeList& list) { desk.learn(list); });
+        source.start([this](const NodeList& list) { dispatcher.learn(list); });
         lastMs = clock.nowMs();
         beat.start(0.1);
     }
@@ -85,7 +85,7 @@
     files::Source source;
     NodeList known;
     Facade facade;
-    Desk desk;
+    Dispatcher dispatcher;
     Timer beat;
     double lastMs = 0;
     double longestMs = 0;
@@ -120,7 +120,7 @@
         }
         NodeList whole{99, true, bench.known.nodes};
         const double startMs = bench.clock.nowMs();
-        bench.desk.learn(whole);
+        bench.dispatcher.learn(whole);
         std::printf("%6d nodes as one whole list: %.2f ms of the loop\n", nodes,
                     bench.clock.nowMs() - startMs);
     }
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -5,7 +5,7 @@
 #include <map>
 #include <utility>
 
-#include "core/desk.h"
+#include "core/dispatcher.h"
 #ifdef MARTENCOVE_ETCD
 #include "etcd/source.h"
 #endif
@@ -30,15 +30,15 @@
         : config_(std::move(config)),
           base_(makeBase()),
           log_(clock_, config_.limits, form),
-          tick_(base_.get(), [this] { desk_.tick(); }),
+          tick_(base_.get(), [this] { dispatcher_.tick(); }),
 #ifdef MARTENCOVE_OPERATOR
           files_(openFiles(extras)),
 #endif
           facade_(config_.site.module, config_.seed, clock_.nowMs(), config_.known),
-          desk_(facade_, clock_, config_.limits, counters_, ports(), config_.known),
+          dispatcher_(facade_, clock_, config_.limits, counters_, ports(), config_.known),
           pool_(base_.get(), clock_, config_.limits, counters_),
           taken_(askForSockets()),
-          front_(base_.get(), config_.listen, desk_, pool_, config_.site, config_.limits, log_,
+          front_(base_.get(), config_.listen, dispatcher_, pool_, config_.site, config_.limits, log_,
                  taken("http")),
           term_(base_.get(), SIGTERM, [this] { drain(); }),
           interrupt_(base_.get(), SIGINT, [this] { drain(); }),
@@ -49,8 +49,8 @@
         if (config_.peerListen)
             peers_.emplace(
                 base_.get(), *config_.peerListen, config_.peers, config_.limits, counters_, log_,
-                [this](const PeerMessage& message) { desk_.hear(message); }, taken("peers"));
-        const auto told = [this](const NodeList& list) { desk_.learn(list); };
+                [this](const PeerMessage& message) { dispatcher_.hear(message); }, taken("peers"));
+        const auto told = [this](const NodeList& list) { dispatcher_.learn(list); };
         bool watch = true;
 #ifdef MARTENCOVE_OPERATOR
         if (files_) {
@@ -61,8 +61,8 @@
         }
         if (extras.nbd) {
             nbdPool_.emplace(base_.get(), clock_, config_.limits, counters_);
-            nbdFront_.emplace(base_.get(), std::move(*extras.nbd), desk_, *nbdPool_, config_.limits, log_,
-                              taken("nbd"));
+            nbdFront_.emplace(base_.get(), std::move(*extras.nbd), dispatcher_, *nbdPool_, config_.limits,
+                              log_, taken("nbd"));
         }
 #endif
 #ifdef MARTENCOVE_ETCD
@@ -78,7 +78,7 @@
 #ifdef MARTENCOVE_XDS
         if (extras.xds)
             xds_.emplace(base_.get(), *extras.xds, config_.limits, counters_,
-                         [this] { return desk_.view(); });
+                         [this] { return dispatcher_.view(); });
 #endif
         if (config_.ops)
             ops_.emplace(base_.get(), *config_.ops,
@@ -97,7 +97,7 @@
             open_.start(config_.limits.firstListMs);
         } else
             open();
-        desk_.tick();
+        dispatcher_.tick();
         if (const Grace& grace = config_.limits.grace; grace.wholeMs > 0 && grace.mayFail() < 1)
             log_.warn("start", "the grace on leaving servers is too short for a call that fails",
                       {{"DrainGraceMs", static_cast<std::int64_t>(grace.wholeMs)}});
@@ -109,12 +109,12 @@
 
     void run() {
         event_base_dispatch(base_.get());
-        desk_.letGo();
+        dispatcher_.letGo();
         printCounters();
     }
 
 private:
-    DeskPorts ports() {
+    DispatcherPorts ports() {
         return {[this](double ms) { tick_.start(ms); },
                 [this](const PeerMessage& message) {
                     peers_ ? peers_->tell(message) : counters_.add("peer_unsent");
@@ -208,8 +208,8 @@
         if (drainedMs_) return;
         drainedMs_ = clock_.nowMs();
         if (discovery_ && config_.limits.listPushed) open();
-        log_.info("end", "finishing what was taken", {{"open", desk_.open()}});
-        desk_.endBy(*drainedMs_ + config_.limits.drainMostMs - config_.limits.drainAnswerMs);
+        log_.info("end", "finishing what was taken", {{"open", dispatcher_.open()}});
+        dispatcher_.endBy(*drainedMs_ + config_.limits.drainMostMs - config_.limits.drainAnswerMs);
         front_.drain();
         end_.start(aside_ ? 0 : config_.limits.drainAcceptMs);
     }
@@ -222,10 +222,10 @@
         // Where another process has the listener, nothing new can come here, and the sooner this one is gone
         // the sooner its clients turn to the other.
         const double leastMs = aside_ ? 0 : limits.drainAcceptMs + limits.drainQuietMs;
-        const bool quiet =
-            passedMs >= leastMs && desk_.open() == 0 && front_.quiet() && (!nbdFront_ || nbdFront_->quiet());
+        const bool quiet = passedMs >= leastMs && dispatcher_.open() == 0 && front_.quiet() &&
+                           (!nbdFront_ || nbdFront_->quiet());
         if (!quiet && passedMs < limits.drainMostMs) return end_.start(20);
-        log_.info("end", "exits", {{"open", desk_.open()}});
+        log_.info("end", "exits", {{"open", dispatcher_.open()}});
         event_base_loopbreak(base_.get());
     }
 
@@ -261,7 +261,7 @@
     std::unique_ptr<files::Source> files_;  // in discovery's place
 #endif
     Facade facade_;
-    Desk desk_;
+    Dispatcher dispatcher_;
     NodePool pool_;
     std::optional<Discovery> discovery_;
 #ifdef MARTENCOVE_ETCD
--- a/src/core/desk.cpp
+++ b/src/core/dispatcher.cpp
@@ -1,4 +1,4 @@
-#include "core/desk.h"
+#include "core/dispatcher.h"
 
 #include <algorithm>
 #include <cmath>
@@ -23,13 +23,13 @@
 
 }  // namespace
 
-Desk::Desk(Facade& facade, const Clock& clock, const Limits& limits, Counters& counters, DeskPorts ports,
-           const NodeList& known)
+Dispatcher::Dispatcher(Facade& facade, const Clock& clock, const Limits& limits, Counters& counters,
+                       DispatcherPorts ports, const NodeList& known)
     : facade_(facade), clock_(clock), limits_(limits), counters_(counters), ports_(std::move(ports)) {
     remember(known);
 }
 
-bool Desk::take(const Request& request, std::shared_ptr<Job> job) {
+bool Dispatcher::take(const Request& request, std::shared_ptr<Job> job) {
     if (facade_.openRequests() >= limits_.openRequests || held_.contains(request.id)) return false;
     counters_.add("request_taken");
     Held& held = held_[request.id];
@@ -43,7 +43,7 @@
     return true;
 }
 
-void Desk::over(const RequestId& id, int attempt, Ending ending) {
+void Dispatcher::over(const RequestId& id, int attempt, Ending ending) {
     const auto at = held_.find(id);
     if (at == held_.end()) return;
     const auto out = at->second.out.find(attempt);
@@ -56,14 +56,14 @@
     release(id);
 }
 
-void Desk::gone(const RequestId& id) {
+void Dispatcher::gone(const RequestId& id) {
     if (!facade_.open(id)) return;
     counters_.add("client_gone");
     carryOut(facade_.report(nowMs(), id));
     release(id);
 }
 
-void Desk::learn(const NodeList& list) {
+void Dispatcher::learn(const NodeList& list) {
     remember(list);
     carryOut(facade_.report(nowMs(), list));
     withdrawFrom(list);
@@ -73,7 +73,7 @@
 // its connection, or for its turn of the loop. All of which no byte has left are taken back in the turn that
 // learns of the leaving, so that no time passes in them. They never ran, and their requests go on as the
 // decisions say.
-void Desk::withdrawFrom(const NodeList& list) {
+void Dispatcher::withdrawFrom(const NodeList& list) {
     std::unordered_set<NodeId> leaving;
     for (const NodeEntry& node : list.nodes)
         if (node.state != NodeState::ready) leaving.insert(node.id);
@@ -92,11 +92,11 @@
     }
 }
 
-void Desk::hear(const PeerMessage& message) { carryOut(facade_.report(nowMs(), message)); }
+void Dispatcher::hear(const PeerMessage& message) { carryOut(facade_.report(nowMs(), message)); }
 
-void Desk::tick() { carryOut(facade_.tick(nowMs())); }
+void Dispatcher::tick() { carryOut(facade_.tick(nowMs())); }
 
-std::vector<NodeView> Desk::view() const {
+std::vector<NodeView> Dispatcher::view() const {
     std::vector<NodeView> out = facade_.view();
     for (NodeView& view : out) {
         const auto known = nodes_.find(view.node.id);
@@ -109,7 +109,7 @@
 
 // What carrying out leads to (an attempt that fails at once, say) waits its turn: the module is never called
 // from within its own answer.
-void Desk::carryOut(Todo todo) {
+void Dispatcher::carryOut(Todo todo) {
     todos_.push_back(std::move(todo));
     if (busy_) return;
     busy_ = true;
@@ -140,7 +140,7 @@
     if (std::isfinite(next)) ports_.wake(std::max(0.0, next - nowMs()));
 }
 
-void Desk::carryOut(const Attempt& attempt) {
+void Dispatcher::carryOut(const Attempt& attempt) {
     const auto at = held_.find(attempt.id);
     if (at == held_.end()) return;
     at->second.out[attempt.number] = {attempt.node, nowMs()};
@@ -158,17 +158,17 @@
     job->send(attempt, node->second);
 }
 
-void Desk::release(const RequestId& id) {
+void Dispatcher::release(const RequestId& id) {
     const auto at = held_.find(id);
     if (at != held_.end() && at->second.out.empty() && !facade_.open(id)) held_.erase(at);
 }
 
-void Desk::countUnits(const char* what, const Held& held) {
+void Dispatcher::countUnits(const char* what, const Held& held) {
     counters_.add(what + std::to_string(held.planNo), static_cast<std::uint64_t>(std::llround(held.units)));
 }
 
 // A node that left gets nothing any more: what is still out there needs no entry.
-void Desk::remember(const NodeList& list) {
+void Dispatcher::remember(const NodeList& list) {
     if (list.whole) nodes_.clear();
     for (const NodeEntry& node : list.nodes) {
         if (node.state == NodeState::gone) {
--- a/src/core/desk.h
+++ b/src/core/dispatcher.h
@@ -1,5 +1,6 @@
 // Where fronts bring requests and the facade's word is carried out. A front stands behind each request as a
-// Job: it knows how to send an attempt on its wire and how to answer its client. The desk knows neither.
+// Job: it knows how to send an attempt on its wire and how to answer its client. The dispatcher knows
+// neither.
 #pragma once
 
 #include <deque>
@@ -15,11 +16,11 @@
 
 namespace martencove {
 
-/// A request as its front holds it. Called by the desk alone.
+/// A request as its front holds it. Called by the dispatcher alone.
 class Job {
 public:
     virtual ~Job() = default;
-    /// Starts an attempt. Its end must reach Desk::over(), once, unless it is cancelled.
+    /// Starts an attempt. Its end must reach Dispatcher::over(), once, unless it is cancelled.
     virtual void send(const Attempt& attempt, const NodeEntry& node) = 0;
     /// Calls an attempt off: over() is not called for it any more.
     virtual void cancel(int attempt) = 0;
@@ -30,17 +31,17 @@
     virtual void answer(const Answer& answer) = 0;
 };
 
-/// What the desk needs of the network.
-struct DeskPorts {
-    std::function<void(double ms)> wake;  ///< call Desk::tick() in so many ms
+/// What the dispatcher needs of the network.
+struct DispatcherPorts {
+    std::function<void(double ms)> wake;  ///< call Dispatcher::tick() in so many ms
     std::function<void(const PeerMessage&)> tell;
     std::function<void(const std::string&)> note;
 };
 
-class Desk {
+class Dispatcher {
 public:
-    Desk(Facade& facade, const Clock& clock, const Limits& limits, Counters& counters, DeskPorts ports,
-         const NodeList& known);
+    Dispatcher(Facade& facade, const Clock& clock, const Limits& limits, Counters& counters,
+               DispatcherPorts ports, const NodeList& known);
 
     /// Takes a request over. False: it is not taken (its id is open, or too many are) and stays the front's.
     [[nodiscard]] bool take(const Request& request, std::shared_ptr<Job> job);
@@ -88,7 +89,7 @@
     const Clock& clock_;
     const Limits& limits_;
     Counters& counters_;
-    DeskPorts ports_;
+    DispatcherPorts ports_;
     std::unordered_map<RequestId, Held> held_;  // open, or with attempts out
     std::unordered_map<NodeId, NodeEntry> nodes_;
     double endsMs_ = std::numeric_limits<double>::infinity();
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -61,13 +61,13 @@
         const int number = attempt.number;
         const auto address = parseAddress(node.dial);
         auto course = std::make_unique<Course>(
-            front_.pool_, front_.limits_, front_.desk_.counters(),
+            front_.pool_, front_.limits_, front_.dispatcher_.counters(),
             Course::Owner{[this, number] { return passes(number); },
                           [this, number](Reply reply) { ended(number, std::move(reply)); }});
         // An older client could not tell a long answer that breaks from one that ends.
         if (request_ != nullptr && request_->major == 1 && request_->minor >= 1) request.sink = course.get();
         if (!address || !course->start(*address, request, attempt.times))
-            return front_.desk_.over(id(), number, Ending::notConnected);
+            return front_.dispatcher_.over(id(), number, Ending::notConnected);
         courses_[number] = std::move(course);
     }
 
@@ -85,7 +85,7 @@
         const Course* course = passing_.get();
         evhttp_connection* connection =
             request_ == nullptr ? nullptr : evhttp_request_get_connection(request_);
-        front.desk_.over(RequestId(id()), attempt, Ending::served);  // the last of this job
+        front.dispatcher_.over(RequestId(id()), attempt, Ending::served);  // the last of this job
         const auto client = front.connections_.find(connection);
         return client != front.connections_.end() && client->second.course.get() == course;
     }
@@ -94,7 +94,7 @@
         const Ending ending = reply.ending;
         if (ending == Ending::served && reply_.ending != Ending::served) reply_ = std::move(reply);
         courses_.erase(attempt);
-        front_.desk_.over(RequestId(id()), attempt, ending);
+        front_.dispatcher_.over(RequestId(id()), attempt, ending);
     }
 
     void answer(const Answer& answer) override {
@@ -132,7 +132,7 @@
         // evhttp has let go of a request whose connection broke by itself.
         if (request != nullptr && evhttp_request_get_connection(request) == nullptr)
             evhttp_request_free(request);
-        front_.desk_.gone(id());
+        front_.dispatcher_.gone(id());
     }
 
 private:
@@ -144,7 +144,7 @@
         const auto at = front_.connections_.find(evhttp_request_get_connection(request));
         if (at != front_.connections_.end()) {
             at->second.job = nullptr;
-            at->second.usedMs = front_.desk_.nowMs();
+            at->second.usedMs = front_.dispatcher_.nowMs();
         }
         return request;
     }
@@ -167,10 +167,10 @@
         // Closes the connection, and with it frees the request.
         evhttp_connection* connection = evhttp_request_get_connection(self->request_);
         const RequestId id = self->id();
-        Desk& desk = self->front_.desk_;
+        Dispatcher& dispatcher = self->front_.dispatcher_;
         self->release();
         evhttp_connection_free(connection);
-        desk.gone(id);
+        dispatcher.gone(id);
     }
 
     HttpFront& front_;
@@ -214,10 +214,10 @@
 
 bool HttpFront::Coming::rests() const { return !begun && !hasInput(buffers); }
 
-HttpFront::HttpFront(event_base* base, const Address& listen, Desk& desk, NodePool& pool,
+HttpFront::HttpFront(event_base* base, const Address& listen, Dispatcher& dispatcher, NodePool& pool,
                      const limedrum::Site& site, const Limits& limits, Log& log, int listener)
     : base_(base),
-      desk_(desk),
+      dispatcher_(dispatcher),
       pool_(pool),
       site_(site),
       limits_(limits),
@@ -254,7 +254,7 @@
 void HttpFront::closeIdle(std::size_t most, double idleMs) {
     std::vector<std::pair<double, evhttp_connection*>> idle;
     for (const auto& [connection, client] : connections_) {
-        if (client.usedMs <= desk_.nowMs() - idleMs && client.rests())
+        if (client.usedMs <= dispatcher_.nowMs() - idleMs && client.rests())
             idle.emplace_back(client.usedMs, connection);
     }
     std::sort(idle.begin(), idle.end());
@@ -263,7 +263,7 @@
 }
 
 void HttpFront::closeSilent(std::size_t most, double silentMs) {
-    const double before = desk_.nowMs() - silentMs;
+    const double before = dispatcher_.nowMs() - silentMs;
     std::vector<std::pair<double, bufferevent*>> silent;
     std::erase_if(unheard_, [](const auto& e) { return letGo(e.first); });
     for (const auto& [buffers, unheard] : unheard_) {
@@ -282,7 +282,7 @@
     for (const auto& [sinceMs, buffers] : silent)
         bufferevent_trigger_event(buffers, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
     std::erase_if(unheard_, [](const auto& e) { return letGo(e.first); });
-    if (!silent.empty()) desk_.counters().add("client_silent", silent.size());
+    if (!silent.empty()) dispatcher_.counters().add("client_silent", silent.size());
 }
 
 bool HttpFront::crowded() const {
@@ -297,7 +297,7 @@
     evconnlistener* listener = evhttp_bound_socket_get_listener(socket_);
     on ? evconnlistener_enable(listener) : evconnlistener_disable(listener);
     accepting_ = on;
-    if (!on) desk_.counters().add("client_crowd");
+    if (!on) dispatcher_.counters().add("client_crowd");
 }
 
 int HttpFront::listener() const { return socket_ == nullptr ? -1 : evhttp_bound_socket_get_fd(socket_); }
@@ -316,7 +316,7 @@
 
 void HttpFront::evacuate(bool on) {
     if (!on) return evacuatedMs_.reset();
-    if (!evacuating()) evacuatedMs_ = desk_.nowMs();
+    if (!evacuating()) evacuatedMs_ = dispatcher_.nowMs();
 }
 
 void HttpFront::open() {
@@ -332,7 +332,7 @@
         closeSilent(limits_.spareDescriptors, limits_.crowdedSilentMs);
         closeIdle(limits_.spareDescriptors, limits_.crowdedIdleMs);
     }
-    if (evacuating() && desk_.nowMs() - *evacuatedMs_ >= limits_.evacuateCloseMs)
+    if (evacuating() && dispatcher_.nowMs() - *evacuatedMs_ >= limits_.evacuateCloseMs)
         closeIdle(connections_.size(), 0);
     if (!onHold_) accept(!crowded());
     look_.start(accepting_ || onHold_ ? limits_.sweepMs : limits_.crowdedLookMs);
@@ -340,11 +340,11 @@
 
 bufferevent* HttpFront::accepted(event_base* base, void* arg) {
     auto* self = static_cast<HttpFront*>(arg);
-    self->desk_.counters().add("client_connection");
+    self->dispatcher_.counters().add("client_connection");
     HeldBuffers held = heldBuffers(base);
     if (!held) return nullptr;
     bufferevent* buffers = held.get();
-    self->unheard_[buffers] = {std::move(held), self->desk_.nowMs(), std::make_unique<Coming>(buffers)};
+    self->unheard_[buffers] = {std::move(held), self->dispatcher_.nowMs(), std::make_unique<Coming>(buffers)};
     if (self->crowded()) {  // before the next one in the queue is taken
         self->accept(false);
         self->look_.start(0);
@@ -373,7 +373,7 @@
     const char* uri = evhttp_request_get_uri(request);
     const std::string path = uri == nullptr ? "" : uri;
     const auto [client, fresh] = connections_.try_emplace(connection);
-    client->second.usedMs = desk_.nowMs();
+    client->second.usedMs = dispatcher_.nowMs();
     if (fresh) {
         evhttp_connection_set_closecb(connection, connectionClosed, this);
         bufferevent* buffers = evhttp_connection_get_bufferevent(connection);
@@ -389,29 +389,29 @@
     if (path == "/healthz" && (evacuating() || (ready_ && !ready_())))
         return reply(request, 503, "Service Unavailable", evacuating() ? "evacuated\n" : "no nodes\n");
     if (path == "/healthz") return reply(request, 200, "OK", "ok\n");
-    if (path == "/counters") return reply(request, 200, "OK", desk_.counters().text());
+    if (path == "/counters") return reply(request, 200, "OK", dispatcher_.counters().text());
     if (const auto page = pages_.find(path); page != pages_.end())
         return reply(request, 200, "OK", page->second());
-    auto message = decodeMessage(request, site_, desk_.nowMs(), wrong);
+    auto message = decodeMessage(request, site_, dispatcher_.nowMs(), wrong);
     if (!message) return refuse(request, wrong);
     // The next request of one that sends several at once may come when it has gone.
     if (!readEarly(evhttp_connection_get_bufferevent(connection), limits_.earlyBytes)) {
-        desk_.counters().add("client_gone_untaken");
+        dispatcher_.counters().add("client_gone_untaken");
         evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
         return reply(request, 503, "Service Unavailable");
     }
     const Request decoded = message->request;
     const auto job = std::make_shared<HttpJob>(*this, request, std::move(*message));
     client->second.job = job.get();
-    if (desk_.take(decoded, job)) return;
-    // Never in the desk's hands: turned away without a trace.
-    desk_.counters().add("request_not_taken");
+    if (dispatcher_.take(decoded, job)) return;
+    // Never in the dispatcher's hands: turned away without a trace.
+    dispatcher_.counters().add("request_not_taken");
     job->answer({decoded.id, Verdict::refused, limits_.notTakenBackMs});
 }
 
 // What follows on such a connection may be no request at all: it ends with the answer.
 void HttpFront::refuse(evhttp_request* request, const std::string& wrong) {
-    desk_.counters().add("request_malformed");
+    dispatcher_.counters().add("request_malformed");
     log_.warn("client", "malformed request", {{"reason", wrong}});
     evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
     reply(request, 400, "Bad Request");
@@ -426,7 +426,7 @@
 
 void HttpFront::reply(evhttp_request* request, int code, const char* reason, std::string body) {
     mayEnd(request);
-    leave(evhttp_request_get_output_buffer(request), std::move(body), desk_.counters());
+    leave(evhttp_request_get_output_buffer(request), std::move(body), dispatcher_.counters());
     evhttp_send_reply(request, code, reason, nullptr);
 }
 
@@ -435,9 +435,9 @@
     const auto client = connections_.find(connection);
     if (client == connections_.end()) return;
     const std::unique_ptr<Course> course = std::move(client->second.course);
-    client->second.usedMs = desk_.nowMs();
+    client->second.usedMs = dispatcher_.nowMs();
     if (!whole) {
-        desk_.counters().add("answer_cut");
+        dispatcher_.counters().add("answer_cut");
         return evhttp_connection_free(connection);
     }
     course->end();
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -1,11 +1,11 @@
-// The platform's front: clients' requests over HTTP/1.1, to the desk and back.
+// The platform's front: clients' requests over HTTP/1.1, to the dispatcher and back.
 #pragma once
 
 #include <functional>
 #include <map>
 #include <memory>
 
-#include "core/desk.h"
+#include "core/dispatcher.h"
 #include "http/course.h"
 #include "http/message.h"
 #include "http/node_link.h"
@@ -21,8 +21,8 @@
 public:
     /// Throws std::runtime_error where `listen` cannot be bound.
     /// `listener`: a socket that listens there already; -1: it binds one.
-    HttpFront(event_base* base, const Address& listen, Desk& desk, NodePool& pool, const limedrum::Site& site,
-              const Limits& limits, Log& log, int listener = -1);
+    HttpFront(event_base* base, const Address& listen, Dispatcher& dispatcher, NodePool& pool,
+              const limedrum::Site& site, const Limits& limits, Log& log, int listener = -1);
     ~HttpFront();
     HttpFront(const HttpFront&) = delete;
     HttpFront& operator=(const HttpFront&) = delete;
@@ -71,7 +71,7 @@
     void look();
 
     event_base* base_;
-    Desk& desk_;
+    Dispatcher& dispatcher_;
     NodePool& pool_;
     const limedrum::Site& site_;
     const Limits& limits_;
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -168,7 +168,7 @@
     void begin() {
         handshake_.stop();
         state_ = State::commands;
-        front_.desk_.counters().add("nbd_handshake");
+        front_.dispatcher_.counters().add("nbd_handshake");
     }
 
     Got command(std::string_view& in);
@@ -176,7 +176,7 @@
     void write(const std::string& bytes) { bufferevent_write(socket_.get(), bytes.data(), bytes.size()); }
 
     void drop(const std::string& why) {
-        front_.desk_.counters().add("nbd_client_bad");
+        front_.dispatcher_.counters().add("nbd_client_bad");
         front_.log_.warn("nbd client", why);
         lost();
     }
@@ -237,7 +237,7 @@
             exchange = front_.pool_.send(at->second, work, attempt.times,
                                          [this, number](Reply reply) { ended(number, std::move(reply)); });
         }
-        if (!exchange) return front_.desk_.over(RequestId(id_), number, Ending::notConnected);
+        if (!exchange) return front_.dispatcher_.over(RequestId(id_), number, Ending::notConnected);
         exchanges_[number] = std::move(exchange);
     }
 
@@ -268,7 +268,7 @@
         const Ending ending = reply.ending;
         if (ending == Ending::served && reply_.ending != Ending::served) reply_ = std::move(reply);
         exchanges_.erase(attempt);
-        front_.desk_.over(RequestId(id_), attempt, ending);
+        front_.dispatcher_.over(RequestId(id_), attempt, ending);
     }
 
     Front& front_;
@@ -299,7 +299,7 @@
         return got;
     }
     const auto refuse = [&](Error error, const std::string& text) {
-        front_.desk_.counters().add("nbd_command_invalid");
+        front_.dispatcher_.counters().add("nbd_command_invalid");
         answer(message.cookie, error, text, 0, "");
         return got;
     };
@@ -325,16 +325,16 @@
     r.planNo = export_->planNo;
     r.piece = export_->name + '@' + std::to_string(message.offset);
     r.volume = export_->volume;
-    r.expiresMs = front_.desk_.nowMs() + (write ? export_->writeDeadlineMs : export_->readDeadlineMs);
+    r.expiresMs = front_.dispatcher_.nowMs() + (write ? export_->writeDeadlineMs : export_->readDeadlineMs);
     r.units = std::ceil(message.length / front_.config_.unitBytes);
     r.shard = export_->shard;
     r.hosts = export_->hosts;
     const std::uint64_t cookie = message.cookie;
     const auto job = std::make_shared<NbdJob>(front_, *this, r.id, *export_, std::move(message));
     jobs_.insert(job.get());
-    if (front_.desk_.take(r, job)) return got;
+    if (front_.dispatcher_.take(r, job)) return got;
     jobs_.erase(job.get());
-    front_.desk_.counters().add("request_not_taken");
+    front_.dispatcher_.counters().add("request_not_taken");
     answer(cookie, Error::noMemory, refusalText(front_.limits_.notTakenBackMs), 0, "");
     return got;
 }
@@ -343,18 +343,18 @@
     if (std::exchange(gone_, true)) return;
     for (NbdJob* job : std::exchange(jobs_, {})) {
         job->disconnect();
-        front_.desk_.gone(RequestId(job->id()));
+        front_.dispatcher_.gone(RequestId(job->id()));
     }
     front_.remove(*this);
 }
 
 void Front::FreeListener::operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
 
-Front::Front(event_base* base, NbdConfig config, Desk& desk, Pool& pool, const Limits& limits, Log& log,
-             int listener)
+Front::Front(event_base* base, NbdConfig config, Dispatcher& dispatcher, Pool& pool, const Limits& limits,
+             Log& log, int listener)
     : base_(base),
       config_(std::move(config)),
-      desk_(desk),
+      dispatcher_(dispatcher),
       pool_(pool),
       limits_(limits),
       log_(log),
@@ -378,11 +378,11 @@
 void Front::accepted(evconnlistener*, evutil_socket_t fd, sockaddr*, int, void* arg) {
     auto* self = static_cast<Front*>(arg);
     if (self->sessions_.size() >= self->limits_.nbdClients) {
-        self->desk_.counters().add("nbd_client_turned_away");
+        self->dispatcher_.counters().add("nbd_client_turned_away");
         ::close(fd);
         return;
     }
-    self->desk_.counters().add("nbd_client_connection");
+    self->dispatcher_.counters().add("nbd_client_connection");
     auto session = std::make_unique<Session>(*self, fd);
     Session* key = session.get();
     self->sessions_.emplace(key, std::move(session));
--- a/src/nbd/front.h
+++ b/src/nbd/front.h
@@ -1,11 +1,11 @@
-// The NBD front: clients' reads and writes on the operator's exports, to the desk and back.
+// The NBD front: clients' reads and writes on the operator's exports, to the dispatcher and back.
 #pragma once
 
 #include <map>
 #include <memory>
 
 #include "config/nbd_config.h"
-#include "core/desk.h"
+#include "core/dispatcher.h"
 #include "nbd/node_link.h"
 #include "net/log.h"
 #include "net/loop.h"
@@ -20,8 +20,8 @@
 public:
     /// Throws std::runtime_error where the operator's address cannot be bound.
     /// `listener`: a socket that listens there already; -1: it binds one.
-    Front(event_base* base, NbdConfig config, Desk& desk, Pool& pool, const Limits& limits, Log& log,
-          int listener = -1);
+    Front(event_base* base, NbdConfig config, Dispatcher& dispatcher, Pool& pool, const Limits& limits,
+          Log& log, int listener = -1);
     ~Front();
     Front(const Front&) = delete;
     Front& operator=(const Front&) = delete;
@@ -47,7 +47,7 @@
 
     event_base* base_;
     NbdConfig config_;
-    Desk& desk_;
+    Dispatcher& dispatcher_;
     Pool& pool_;
     const Limits& limits_;
     Log& log_;
--- a/tests/limedrum/decide_test.cpp
+++ b/tests/limedrum/decide_test.cpp
@@ -1,9 +1,9 @@
-// Decisions and the desk without any wire: what service days showed that calm ones had not.
+// Decisions and the dispatcher without any wire: what service days showed that calm ones had not.
 #include <doctest/doctest.h>
 
 #include <array>
 
-#include "core/desk.h"
+#include "core/dispatcher.h"
 #include "driver.h"
 
 using namespace limedrum;
@@ -102,14 +102,14 @@
 }
 
 // Guards against growing memory over a long day on which nodes are replaced by new ones with new ids.
-TEST_CASE("the desk forgets nodes that have left") {
+TEST_CASE("the dispatcher forgets nodes that have left") {
     using namespace martencove;
     Limits limits;
     Counters counters;
     Clock clock;
     Facade facade(plainSettings(), 1, clock.nowMs(), {});
-    Desk desk(facade, clock, limits, counters,
-              {[](double) {}, [](const PeerMessage&) {}, [](const std::string&) {}}, {});
+    Dispatcher dispatcher(facade, clock, limits, counters,
+                          {[](double) {}, [](const PeerMessage&) {}, [](const std::string&) {}}, {});
     const auto entry = [](int i, martencove::NodeState state) {
         martencove::NodeEntry e;
         e.id = static_cast<martencove::NodeId>(i);
@@ -117,9 +117,9 @@
         return e;
     };
     for (int i = 1; i <= 500; ++i)
-        desk.learn(
+        dispatcher.learn(
             {i, false, {entry(i, martencove::NodeState::ready), entry(i - 1, martencove::NodeState::gone)}});
-    CHECK(desk.knownNodes() == 1);
-    desk.learn({501, true, {entry(900, martencove::NodeState::ready)}});
-    CHECK(desk.knownNodes() == 1);
+    CHECK(dispatcher.knownNodes() == 1);
+    dispatcher.learn({501, true, {entry(900, martencove::NodeState::ready)}});
+    CHECK(dispatcher.knownNodes() == 1);
 }
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -276,7 +276,8 @@
     CHECK(t.world.end() == 0);
 }
 
-// Guards against an end between an answer and its last byte: to the desk it is over once it is handed on.
+// Guards against an end between an answer and its last byte: to the dispatcher it is over once it is handed
+// on.
 TEST_CASE("SIGTERM: the program ends only once its answers are written whole") {
     const std::string longest(5'900'000, 'y');  // more than the sockets between take
     OneNode t([&](Wire& wire, const HttpText&) { wire.send(httpReply(200, longest)); },
