--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -60,40 +60,40 @@
         NodeRequest request = message_.toNode;
         const int number = attempt.number;
         const auto address = parseAddress(node.dial);
-        auto course = std::make_unique<Course>(
+        auto stream = std::make_unique<ResponseStream>(
             front_.pool_, front_.limits_, front_.dispatcher_.counters(),
-            Course::Owner{[this, number] { return passes(number); },
-                          [this, number](Reply reply) { ended(number, std::move(reply)); }});
+            ResponseStream::Owner{[this, number] { return passes(number); },
+                                  [this, number](Reply reply) { ended(number, std::move(reply)); }});
         // An older client could not tell a long answer that breaks from one that ends.
-        if (request_ != nullptr && request_->major == 1 && request_->minor >= 1) request.sink = course.get();
-        if (!address || !course->start(*address, request, attempt.times))
+        if (request_ != nullptr && request_->major == 1 && request_->minor >= 1) request.sink = stream.get();
+        if (!address || !stream->start(*address, request, attempt.times))
             return front_.dispatcher_.over(id(), number, Ending::notConnected);
-        courses_[number] = std::move(course);
+        streams_[number] = std::move(stream);
     }
 
-    void cancel(int attempt) override { courses_.erase(attempt); }
+    void cancel(int attempt) override { streams_.erase(attempt); }
 
-    bool withdraw(int attempt) override { return withdrawFrom(courses_, attempt); }
+    bool withdraw(int attempt) override { return withdrawFrom(streams_, attempt); }
 
     /// A long answer begins. To the decisions the request is served: what comes is the connection's matter.
     /// Whether it goes on.
     bool passes(int attempt) {
-        const auto at = courses_.find(attempt);
+        const auto at = streams_.find(attempt);
         passing_ = std::move(at->second);
-        courses_.erase(at);
+        streams_.erase(at);
         HttpFront& front = front_;
-        const Course* course = passing_.get();
+        const ResponseStream* stream = passing_.get();
         evhttp_connection* connection =
             request_ == nullptr ? nullptr : evhttp_request_get_connection(request_);
         front.dispatcher_.over(RequestId(id()), attempt, Ending::served);  // the last of this job
         const auto client = front.connections_.find(connection);
-        return client != front.connections_.end() && client->second.course.get() == course;
+        return client != front.connections_.end() && client->second.stream.get() == stream;
     }
 
     void ended(int attempt, Reply reply) {
         const Ending ending = reply.ending;
         if (ending == Ending::served && reply_.ending != Ending::served) reply_ = std::move(reply);
-        courses_.erase(attempt);
+        streams_.erase(attempt);
         front_.dispatcher_.over(RequestId(id()), attempt, ending);
     }
 
@@ -102,9 +102,9 @@
         evhttp_request* request = release();
         if (answer.verdict == Verdict::served && passing_) {
             auto& client = front_.connections_.at(evhttp_request_get_connection(request));
-            client.course = std::move(passing_);
+            client.stream = std::move(passing_);
             front_.mayEnd(request);
-            return client.course->goOn(request, [front = &front_](evhttp_connection* connection, bool whole) {
+            return client.stream->goOn(request, [front = &front_](evhttp_connection* connection, bool whole) {
                 front->passed(connection, whole);
             });
         }
@@ -177,8 +177,8 @@
     evhttp_request* request_;  // null: answered, or the client is gone
     HttpMessage message_;
     Reply reply_;
-    std::map<int, std::unique_ptr<Course>> courses_;  // by attempt
-    std::unique_ptr<Course> passing_;                 // whose long answer is about to go on
+    std::map<int, std::unique_ptr<ResponseStream>> streams_;  // by attempt
+    std::unique_ptr<ResponseStream> passing_;                 // whose long answer is about to go on
     Owned<event> watch_;
 };
 
@@ -357,7 +357,7 @@
     const auto at = self->connections_.find(connection);
     if (at == self->connections_.end()) return;
     HttpJob* job = at->second.job;
-    evhttp_request* passing = at->second.course ? at->second.course->request() : nullptr;
+    evhttp_request* passing = at->second.stream ? at->second.stream->request() : nullptr;
     self->connections_.erase(at);
     // evhttp has let go of a request whose connection broke by itself.
     if (passing != nullptr && evhttp_request_get_connection(passing) == nullptr) evhttp_request_free(passing);
@@ -434,13 +434,13 @@
 void HttpFront::passed(evhttp_connection* connection, bool whole) {
     const auto client = connections_.find(connection);
     if (client == connections_.end()) return;
-    const std::unique_ptr<Course> course = std::move(client->second.course);
+    const std::unique_ptr<ResponseStream> stream = std::move(client->second.stream);
     client->second.usedMs = dispatcher_.nowMs();
     if (!whole) {
         dispatcher_.counters().add("answer_cut");
         return evhttp_connection_free(connection);
     }
-    course->end();
+    stream->end();
 }
 
 }  // namespace martencove
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -6,9 +6,9 @@
 #include <memory>
 
 #include "core/dispatcher.h"
-#include "http/course.h"
 #include "http/message.h"
 #include "http/node_link.h"
+#include "http/response_stream.h"
 #include "net/address.h"
 #include "net/log.h"
 #include "net/loop.h"
@@ -98,12 +98,12 @@
         static void cameIn(evbuffer*, const evbuffer_cb_info* info, void* self);
     };
     struct Client {
-        HttpJob* job = nullptr;          // the request in work
-        std::unique_ptr<Course> course;  // its answer, while that is passed on as it comes
-        double usedMs = 0;               // when the last one came
+        HttpJob* job = nullptr;                  // the request in work
+        std::unique_ptr<ResponseStream> stream;  // its answer, while that is passed on as it comes
+        double usedMs = 0;                       // when the last one came
         std::unique_ptr<Coming> coming;
 
-        bool busy() const { return job != nullptr || course != nullptr; }
+        bool busy() const { return job != nullptr || stream != nullptr; }
         bool rests() const { return !busy() && coming->rests(); }
     };
     std::map<evhttp_connection*, Client> connections_;  // that have sent a request
--- a/src/http/course.cpp
+++ b/src/http/response_stream.cpp
@@ -1,4 +1,4 @@
-#include "http/course.h"
+#include "http/response_stream.h"
 
 #include <utility>
 
@@ -31,19 +31,19 @@
         (void)leaving.release();  // the buffer's now
 }
 
-bool Course::start(const Address& node, const NodeRequest& request, const AttemptTimes& times) {
+bool ResponseStream::start(const Address& node, const NodeRequest& request, const AttemptTimes& times) {
     exchange_ = pool_.send(node, request, times, [this](Reply reply) { ended(std::move(reply)); });
     return exchange_ != nullptr;
 }
 
 // evhttp closes a connection on which nothing has come for the time of an idle one, also while it writes.
-void Course::limitSilence(bool reading) {
+void ResponseStream::limitSilence(bool reading) {
     const timeval idle = timevalOf(limits_.clientIdleMs), still = timevalOf(limits_.passStillMs);
     bufferevent_set_timeouts(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_)),
                              reading ? &idle : nullptr, reading ? &idle : &still);
 }
 
-void Course::goOn(evhttp_request* request, Passed passed) {
+void ResponseStream::goOn(evhttp_request* request, Passed passed) {
     request_ = request;
     passed_ = std::move(passed);
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
@@ -54,12 +54,12 @@
     evhttp_send_reply_start(request, 200, "OK");
 }
 
-void Course::end() {
+void ResponseStream::end() {
     limitSilence(true);
     evhttp_send_reply_end(std::exchange(request_, nullptr));
 }
 
-bool Course::begins(const std::string& contentType, std::optional<std::uint64_t> length) {
+bool ResponseStream::begins(const std::string& contentType, std::optional<std::uint64_t> length) {
     contentType_ = contentType;
     length_ = length;
     const auto passes = owner_.passes;  // a copy: this may be freed meanwhile
@@ -67,7 +67,7 @@
 }
 
 // No more is read than a client takes, but for a little that is before it.
-void Course::piece(std::string bytes) {
+void ResponseStream::piece(std::string bytes) {
     const Owned<evbuffer> buffer(evbuffer_new());
     if (!buffer) return;
     leave(buffer.get(), std::move(bytes), counters_);
@@ -79,12 +79,12 @@
     exchange_->flow(false);
 }
 
-void Course::taken(evhttp_connection*, void* arg) {
-    auto* self = static_cast<Course*>(arg);
+void ResponseStream::taken(evhttp_connection*, void* arg) {
+    auto* self = static_cast<ResponseStream*>(arg);
     if (std::exchange(self->ahead_, false)) self->exchange_->flow(true);
 }
 
-void Course::ended(Reply reply) {
+void ResponseStream::ended(Reply reply) {
     // The same here.
     if (request_ == nullptr) {
         const auto ended = owner_.ended;
--- a/src/http/course.h
+++ b/src/http/response_stream.h
@@ -18,7 +18,7 @@
 
 /// A long answer goes on to the client as it comes: then the request's owner has no more part in it, and it
 /// is the client's connection that holds this.
-class Course final : public AnswerSink {
+class ResponseStream final : public AnswerSink {
 public:
     /// Who has the request until goOn().
     struct Owner {
@@ -28,7 +28,7 @@
     /// The answer has been passed on; where not whole, the client's connection has to end. May free this.
     using Passed = std::function<void(evhttp_connection*, bool whole)>;
 
-    Course(NodePool& pool, const Limits& limits, Counters& counters, Owner owner)
+    ResponseStream(NodePool& pool, const Limits& limits, Counters& counters, Owner owner)
         : pool_(pool), limits_(limits), counters_(counters), owner_(std::move(owner)) {}
 
     [[nodiscard]] bool start(const Address& node, const NodeRequest& request, const AttemptTimes& times);
