Test that full descriptors do not keep discovery's word, the second address or a server out

Idle clients come again and again while discovery is silent, and a SIGHUP moves it: its first list is in force at once, tools are answered, a server is reached.

--- a/tests/ops/ops_test.cpp
+++ b/tests/ops/ops_test.cpp
@@ -95,3 +95,58 @@
     CHECK(answer->header("Connection").empty());
     CHECK(t.world.end() == 0);
 }
+
+// Guards against calls that find no descriptor, as idle clients have them all and come again when they are
+// closed: a new address of discovery, the second address, a node.
+TEST_CASE(
+    "ops: idle clients fill the descriptors while discovery is silent: what it then says is in force at "
+    "once") {
+    World world;
+    const FreeAddress ops;
+    HttpNode node(world.base.get(), serve);
+    world.config["known"]["hosts"] = Json::array({world.entry("s-1", node.listener.address, 5, "ready"),
+                                                  world.entry("s-2", node.listener.address, 6, "ready")});
+    world.config["ops"] = ops.text();
+    world.config["limits"]["sockets"] = 128;
+    world.start();
+    world.answerLists(false);
+    std::vector<std::unique_ptr<Wire>> idle(150);
+    // The loop runs until it holds, and no place of an idle client stays empty.
+    const auto until = [&](const std::function<bool()>& holds) {
+        return world.until([&] {
+            for (auto& wire : idle)
+                if (!wire || wire->closed) wire = std::make_unique<Wire>(world.base.get(), world.listen);
+            return holds();
+        });
+    };
+    const auto ask = [&](const martencove::Address& to, const std::string& request) {
+        Wire wire(world.base.get(), to);
+        wire.send(request);
+        std::optional<HttpText> answer;
+        REQUIRE(until([&] { return (answer = takeHttp(wire.got)).has_value() || wire.closed; }));
+        return answer.value_or(HttpText{"HTTP/1.1 000 closed\r\n", ""});
+    };
+    REQUIRE(until([&] {
+        return ask(world.listen, "GET /counters HTTP/1.1\r\nHost: b\r\n\r\n").body.find("\nclient_crowd ") !=
+               std::string::npos;
+    }));
+    Wire* call = nullptr;
+    Listener moved(world.base.get(), [&](Wire& wire) {
+        if (takeHttp(wire.got)) call = &wire;
+    });
+    world.config["discovery"] = moved.address.text();
+    world.rewrite();
+    world.signal(SIGHUP);
+    REQUIRE(until([&] { return call != nullptr; }));
+    const Json hosts = Json::array({world.entry("s-1", node.listener.address, 5, "draining"),
+                                    world.entry("s-2", node.listener.address, 6, "ready")});
+    call->send(httpReply(200, Json{{"seq", 7}, {"whole", true}, {"hosts", hosts}}.dump()));
+    REQUIRE(until([&] { return world.log.find("leaving: servers leave") != std::string::npos; }));
+    CHECK(ask(ops, "GET /api/ready HTTP/1.1\r\nHost: o\r\n\r\n").code() == 200);
+    CHECK(ask(world.listen, world.request("0000000000000001", "", 400)).code() == 503);  // its server leaves
+    CHECK(node.requests.empty());
+    std::string other = world.request("0000000000000002");
+    other.replace(other.find("shard=5"), 7, "shard=6");
+    CHECK(ask(world.listen, other).code() == 200);
+    CHECK(node.requests.size() == 1);
+}
