Give a call for the list as long as the protocol allows: a first division kept the service full

Cause: the service answers its 30 callers one after the other, some 35 ms each (times of "leaving" lines: 6.334, 6.370, 6.403), and refuses what finds no room. Also a call that was not held came before each held one.

Now a call may be late by 2 s, as the protocol says; 0.42 of 6 s and the grace are for a held call, 0.07 for the rest after a silent one, what is left for the next call's answer, which is not held. All other rests grow, up to 0.6. What no longer fits in is a second silent call in a row.

--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -115,9 +115,8 @@
         limits.list.leastMs = limits.list.mostMs = std::min(limits.list.leastMs, limits.grace.restMs / 1.5);
         limits.firstListMs = std::min(limits.firstListMs, graceMs * 2 / 5);
     } else if (!limits.listPushed) {
-        limits.asked = divideAsked(limits.toldAfterMs, graceMs);
+        limits.asked = divideAsked(limits.toldAfterMs, graceMs, limits.watchGraceMs);
         limits.watchWaitMs = std::min(limits.watchWaitMs, limits.asked.holdMs);
-        limits.watchGraceMs = std::min(limits.watchGraceMs, limits.asked.lateMs);
         // Drawn up to one and a half times their mean.
         limits.list.firstMs = std::min(limits.list.firstMs, limits.asked.restMs);
         limits.list.mostMs = std::min(limits.list.mostMs, limits.asked.restMs / 1.5);
--- a/src/core/grace.h
+++ b/src/core/grace.h
@@ -52,31 +52,30 @@
 /// then. At the worst this passes in the two together:
 ///
 ///     a held call that falls silent   begun just before
-///     two more calls                  one that falls silent too, one that is answered; a short rest before
-///     each turns of the loop
+///     the next call                   soon after it; what is left is for its answer
+///     turns of the loop
 ///
-/// After these two the service is not there, and what counts is its return: no call is held meanwhile, so
-/// that the rests may take the hold's part. They are drawn, so that the hosts do not come back together.
+/// Calls wait at the service in turn, and one that is given up while it waits there still costs its turn:
+/// given up early and called again soon, the calls of thirty hosts kept the service full, and some heard
+/// nothing for 20 s. So a call may be late by as much as the protocol allows, and all rests but the one after
+/// a silence grow.
 struct AskedPath {
     double wholeMs = 0;  ///< the time until a change counts as told, and the grace
     double holdMs = 0;   ///< the service may hold a call that waits for news
-    double lateMs =
-        0;  ///< and answer later by so much, as calls wait there in turn; also a connection's dial
-    double soonMs = 0;  ///< at most, before each of the two calls after a silence
-    double restMs = 0;  ///< at most, before any other after a failed one
-    double turnMs = 0;  ///< the loop
+    double lateMs = 0;   ///< and answer later by so much: then the call is given up; also a connection's dial
+    double soonMs = 0;   ///< at most, before the call after a silent one
+    double restMs = 0;   ///< at most, before any other after a failed one
+    double turnMs = 0;   ///< the loop
 
-    /// From a change during a held call that falls silent to the end, where `silent` more do.
-    [[nodiscard]] double silentMs(int silent) const {
-        return holdMs + lateMs + (silent + 1) * (soonMs + lateMs) + turnMs;
-    }
-    /// From the service's return to the end: a call that began just before, its rest, the next call.
-    [[nodiscard]] double returnMs() const { return lateMs + restMs + lateMs + turnMs; }
+    /// What is left for the answer of the call that follows a silent one.
+    [[nodiscard]] double answerMs() const { return wholeMs - holdMs - lateMs - soonMs - turnMs; }
+    /// From the service's return to the end: a rest that began just before, and a call that is late.
+    [[nodiscard]] double returnMs() const { return restMs + lateMs + turnMs; }
 };
 
-[[nodiscard]] inline AskedPath divideAsked(double toldAfterMs, double graceMs) {
+[[nodiscard]] inline AskedPath divideAsked(double toldAfterMs, double graceMs, double lateMs) {
     const double whole = toldAfterMs + graceMs;
-    return {whole, whole * 0.35, whole * 0.14, whole * 0.07, whole * 0.35, whole * 0.09};
+    return {whole, whole * 0.42, lateMs, whole * 0.07, whole * 0.6, whole * 0.05};
 }
 
 }  // namespace martencove
--- a/src/net/list_watch.cpp
+++ b/src/net/list_watch.cpp
@@ -5,12 +5,6 @@
 #include <utility>
 
 namespace martencove {
-namespace {
-
-constexpr int kSoonAfter = 2;  // silent calls: of more of them the service is not there
-
-}  // namespace
-
 ListWatch::ListWatch(event_base* base, Address address, std::int64_t version, bool whole, double firstMs,
                      std::uint64_t seed, const Limits& limits, Counters& counters, Log& log, Told told)
     : base_(base),
@@ -42,9 +36,6 @@
 
 void ListWatch::call() {
     if (!connection_) {
-        // On a new connection, which may hang in its dial, no call is held: its silence would show late, and
-        // what a silent call has missed counts as told before long.
-        soon_ = true;
         connection_.reset(evhttp_connection_base_new(base_, nullptr, address_.host.c_str(), address_.port));
         evhttp_connection_set_retries(connection_.get(), 0);
         evhttp_connection_set_timeout(connection_.get(), 120);  // silence_ comes long before
@@ -112,13 +103,14 @@
 }
 
 // Of an agent on this machine, which answers at once, the rest has its part of the grace. A service for all
-// hosts is spared, but for two calls soon after a silence: what the silent call missed counts as told before
+// hosts is spared, but for one call soon after a silence: what the silent call missed counts as told before
 // long.
 double ListWatch::restMs(bool silent) {
     ++failed_;
     if (limits_.grace.restMs > 0) return std::min(rest_.nextMs(), limits_.grace.restMs);
-    if (silent && limits_.asked.soonMs > 0 && silent_++ < kSoonAfter)
-        return rest_.firstMs(limits_.asked.soonMs);
+    // Not held: a dial that hangs would else show as late as the silence did.
+    soon_ = silent;
+    if (silent && limits_.asked.soonMs > 0 && silent_++ == 0) return rest_.firstMs(limits_.asked.soonMs);
     return limits_.asked.restMs > 0 ? std::min(rest_.nextMs(), limits_.asked.restMs) : rest_.nextMs();
 }
 
