--- a/src/http/front.h
+++ b/src/http/front.h
@@ -1,14 +1,14 @@
-// The platform's front: clients' requests over HTTP/1.1, to the desk and back.
+// The platform's front: clients' requests over HTTP/1.1, to the dispatcher and back.
 #pragma once
 
 #include <functional>
 #include <map>
 #include <memory>
 
-#include "core/desk.h"
-#include "http/course.h"
+#include "core/dispatcher.h"
 #include "http/message.h"
 #include "http/node_link.h"
+#include "http/response_stream.h"
 #include "net/address.h"
 #include "net/log.h"
 #include "net/loop.h"
@@ -21,8 +21,8 @@
 public:
     /// Throws std::runtime_error where `listen` cannot be bound.
     /// `listener`: a socket that listens there already; -1: it binds one.
-    HttpFront(event_base* base, const Address& listen, Desk& desk, NodePool& pool, const limedrum::Site& site,
-              const Limits& limits, Log& log, int listener = -1);
+    HttpFront(event_base* base, const Address& listen, Dispatcher& dispatcher, NodePool& pool,
+              const limedrum::Site& site, const Limits& limits, Log& log, int listener = -1);
     ~HttpFront();
     HttpFront(const HttpFront&) = delete;
     HttpFront& operator=(const HttpFront&) = delete;
@@ -71,7 +71,7 @@
     void look();
 
     event_base* base_;
-    Desk& desk_;
+    Dispatcher& dispatcher_;
     NodePool& pool_;
     const limedrum::Site& site_;
     const Limits& limits_;
@@ -98,12 +98,12 @@
         static void cameIn(evbuffer*, const evbuffer_cb_info* info, void* self);
     };
     struct Client {
-        HttpJob* job = nullptr;          // the request in work
-        std::unique_ptr<Course> course;  // its answer, while that is passed on as it comes
-        double usedMs = 0;               // when the last one came
+        HttpJob* job = nullptr;                  // the request in work
+        std::unique_ptr<ResponseStream> stream;  // its answer, while that is passed on as it comes
+        double usedMs = 0;                       // when the last one came
         std::unique_ptr<Coming> coming;
 
-        bool busy() const { return job != nullptr || course != nullptr; }
+        bool busy() const { return job != nullptr || stream != nullptr; }
         bool rests() const { return !busy() && coming->rests(); }
     };
     std::map<evhttp_connection*, Client> connections_;  // that have sent a request
