Say once how bytes leave at once, what time is left, and who waits no more

Found on reading the change again; behaviour unchanged. TCP_NODELAY was set by the same lines in the link and the HTTP front (sendAtOnce() in net/loop now), Link::leftMs() was a part of timesLeft(), and the pool dropped entries from those that wait by the same line in two places, twice.

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -3,8 +3,6 @@
 #include <event2/http_struct.h>
 #include <event2/listener.h>
 #include <fcntl.h>
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -380,8 +378,7 @@
         auto unheard = unheard_.extract(buffers);  // none if accepted() had no memory for buffers of its own
         client->second.coming =
             unheard ? std::move(unheard.mapped().coming) : std::make_unique<Coming>(buffers);
-        const int on = 1;  // the last piece of an answer waits for no acknowledgement
-        setsockopt(bufferevent_getfd(buffers), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        sendAtOnce(bufferevent_getfd(buffers));
     }
     client->second.coming->begun = false;
     std::string wrong;
--- a/src/http/node_link.cpp
+++ b/src/http/node_link.cpp
@@ -22,13 +22,13 @@
     sink_ = request.sink;
     passing_ = false;
     begin(times, std::move(over));
-    if (up()) return writeLast(encode(request, node(), leftMs()));
+    if (up()) return writeLast(encode(request, node(), timesLeft().timeoutMs));
     waiting_ = request;
 }
 
 // What it tells the node of its time is right only now.
 void NodeLink::cameUp() {
-    writeLast(encode(*waiting_, node(), leftMs()));
+    writeLast(encode(*waiting_, node(), timesLeft().timeoutMs));
     waiting_.reset();
 }
 
--- a/src/net/link.cpp
+++ b/src/net/link.cpp
@@ -1,7 +1,5 @@
 #include "net/link.h"
 
-#include <netinet/in.h>
-#include <netinet/tcp.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -116,8 +114,7 @@
     auto* self = static_cast<Link*>(arg);
     if ((what & BEV_EVENT_CONNECTED) != 0) {
         self->up_ = true;
-        const int on = 1;  // the last piece of a request waits for no acknowledgement
-        setsockopt(bufferevent_getfd(self->socket_.get()), IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+        sendAtOnce(bufferevent_getfd(self->socket_.get()));
         self->dial_.stop();
         if (const Dialled then = std::exchange(self->whenDialled_, nullptr)) return then(true);
         if (!self->over_) return;
--- a/src/net/link.h
+++ b/src/net/link.h
@@ -54,11 +54,10 @@
     virtual void cameUp() {}
     /// Lets go of work of which no byte has left. The dial goes on.
     [[nodiscard]] Over leaveWork();
+    /// Of the present work's.
     [[nodiscard]] AttemptTimes timesLeft() const {
         return {endsMs_ - clock_.nowMs(), startByMs_ - clock_.nowMs()};
     }
-    /// Of the present work's time, in ms.
-    [[nodiscard]] double leftMs() const { return endsMs_ - clock_.nowMs(); }
     /// Takes off the front of `in` what belongs to the work, and settles it when it is over.
     virtual void arrived(std::string_view& in) = 0;
     /// The other side has sent all that it will, while work is under way: settles it where that is its end.
--- a/src/net/link_pool.h
+++ b/src/net/link_pool.h
@@ -93,7 +93,7 @@
         auto exchange = std::make_unique<Exchange<Wire>>(std::move(link), *this);
         started.start(work, times,
                       [this, out = exchange.get(), done = std::move(done)](Link&, Reply reply, bool keep) {
-                          std::erase_if(waiting_, [out](const Waiting& w) { return w.exchange == out; });
+                          waitsNoMore(*out);
                           take(std::move(out->link_), keep);
                           done(std::move(reply));
                       });
@@ -131,10 +131,17 @@
     }
 
     void giveUp(Exchange<Wire>& exchange) {
-        std::erase_if(waiting_, [&](const Waiting& w) { return w.exchange == &exchange; });
+        waitsNoMore(exchange);
         discard(std::move(exchange.link_));
     }
 
+    void waitsNoMore(const Exchange<Wire>& exchange) {
+        std::erase_if(waiting_, [&](const Waiting& w) { return w.exchange == &exchange; });
+    }
+    void forgetThoseUp() {
+        std::erase_if(waiting_, [](const Waiting& w) { return w.exchange->link_->up(); });
+    }
+
     // Once one that has just done its work has rested. The timer runs on where it runs: it looks again
     // itself.
     void serveRested() {
@@ -143,7 +150,7 @@
 
     // Those whose connection is not up yet, the longest waiting first, get what is idle.
     void serveWaiting() {
-        std::erase_if(waiting_, [](const Waiting& w) { return w.exchange->link_->up(); });
+        forgetThoseUp();
         for (auto at = waiting_.begin(); at != waiting_.end();) {
             Exchange<Wire>& exchange = *at->exchange;
             std::unique_ptr<Wire> idle = idleFor(exchange.link_->node(), exchange.link_->waiting());
@@ -163,7 +170,7 @@
 
     // A connection that takes longer than usual may be one of those that come up late, or never.
     void dialAgain() {
-        std::erase_if(waiting_, [](const Waiting& w) { return w.exchange->link_->up(); });
+        forgetThoseUp();
         const double now = clock_.nowMs();
         for (Waiting& w : waiting_) {
             if (w.again) continue;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -1,5 +1,9 @@
 #include "net/loop.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <csignal>
 #include <new>
@@ -39,6 +43,11 @@
     return onEvent == nullptr;
 }
 
+void sendAtOnce(evutil_socket_t fd) {
+    const int on = 1;
+    setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
+}
+
 Timer::Timer(event_base* base, std::function<void()> then)
     : then_(std::move(then)), event_(owned(evtimer_new(base, callBack, &then_))) {}
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -35,6 +35,9 @@
 /// Whether evhttp has closed a connection whose buffers are still held.
 [[nodiscard]] bool letGo(bufferevent* buffers);
 
+/// Small writes, and the last piece of a long one, wait for no acknowledgement of what went before.
+void sendAtOnce(evutil_socket_t fd);
+
 /// Of the events of one turn of the loop those of a lower number come first.
 inline constexpr int kFirstPriority = 0;
 inline constexpr int kUsualPriority = 1;  // libevent gives it to all others: the middle of three
