--- a/tests/program/nbd_test.cpp
+++ b/tests/program/nbd_test.cpp
@@ -1,88 +1,10 @@
 // The NBD front: the program between NBD clients and stand-in nodes that speak NBD.
 #include <doctest/doctest.h>
 
-#include "nbd_node.h"
+#include "nbd_site.h"
 
 using namespace martencove::test;
 
-namespace {
-
-/// A program with one node that speaks NBD, for shard 5, and one export there.
-struct Site {
-    explicit Site(NbdNode::Serve serve = inChunks, int mostOpen = 1000)
-        : node(world.base.get(), std::move(serve)) {
-        world.config["settings"]["Limits"]["MaxOpen"] = mostOpen;
-        world.config["known"]["hosts"].push_back(world.entry("s-1", node.listener.address, 5, "ready"));
-        const Json disk{
-            {"name", "disk"}, {"bytes", kSize},       {"volume", "v"},          {"plan", "basic"},
-            {"shard", 5},     {"read_class", "read"}, {"write_class", "write"}, {"read_deadline_ms", 3000}};
-        Json capped = disk, nowhere = disk, atOnce = disk;
-        capped.update({{"name", "capped"}, {"plan", "capped"}, {"volume", "w"}, {"read_only", true}});
-        nowhere.update({{"name", "nowhere"}, {"shard", 9}, {"read_deadline_ms", 400}});
-        atOnce.update({{"name", "at once"}, {"read_deadline_ms", 1e-9}});
-        world.nbd = {{"listen", world.nbdListen.text()},
-                     {"unit_bytes", 512},
-                     {"exports", {disk, capped, nowhere, atOnce}},
-                     {"nodes", {{"s-1", node.listener.address.text()}}}};
-        world.start();
-    }
-    bool until(const std::function<bool()>& holds) {
-        return world.until([&] {
-            node.greet();
-            return holds();
-        });
-    }
-    /// A client after its greeting.
-    Wire& client() {
-        Wire& wire = world.connect(world.nbdListen);
-        Greeting greeting;
-        REQUIRE(until([&] { return takeFrom(wire.got, greeting); }));
-        wire.send(encodeClientFlags(kFixedNewstyle | kNoZeroes));
-        return wire;
-    }
-    OptionAnswer option(Wire& wire, Option option, const std::string& data = "") {
-        wire.send(encode(OptionMessage{option, data}));
-        return next(wire);
-    }
-    OptionAnswer next(Wire& wire) {
-        OptionAnswer answer;
-        REQUIRE(until([&] { return takeFrom(wire.got, answer, kMost); }));
-        return answer;
-    }
-    /// A client that may send commands.
-    Wire& ready(const std::string& name = "disk", bool structured = true) {
-        Wire& wire = client();
-        if (structured) CHECK(option(wire, Option::structuredReply).reply == OptionReply::ack);
-        OptionAnswer answer = option(wire, Option::go, encode(InfoRequest{name, {}}));
-        while (answer.reply == OptionReply::info) answer = next(wire);
-        CHECK(answer.reply == OptionReply::ack);
-        return wire;
-    }
-    ChunkMessage reply(Wire& wire) {
-        ChunkMessage out;
-        REQUIRE(until([&] { return takeFrom(wire.got, out, kMost); }));
-        CHECK(out.flags == kDone);
-        return out;
-    }
-    ChunkMessage ask(Wire& wire, const CommandMessage& command) {
-        wire.send(encode(command));
-        const ChunkMessage out = reply(wire);
-        CHECK(out.cookie == command.cookie);
-        return out;
-    }
-    World world;
-    NbdNode node;
-};
-
-CommandMessage readOf(std::uint64_t cookie, std::uint64_t offset, std::uint32_t length) {
-    return {0, Command::read, cookie, offset, length, ""};
-}
-CommandMessage writeOf(std::uint64_t cookie, std::uint64_t offset, const std::string& data) {
-    return {0, Command::write, cookie, offset, static_cast<std::uint32_t>(data.size()), data};
-}
-
-}  // namespace
-
 // Guards against a codec that only agrees with itself: bytes as the specification has them.
 TEST_CASE("the codec's bytes are the specification's") {
     using namespace std::string_literals;
@@ -116,7 +38,7 @@
 }
 
 TEST_CASE("handshake: LIST, INFO, unknown names and options, ABORT, EXPORT_NAME") {
-    Site t;
+    NbdSite t;
     Wire& wire = t.client();
     CHECK(t.option(wire, Option::list).data == encodeListed("disk"));
     CHECK(t.next(wire).data == encodeListed("capped"));
@@ -142,7 +64,7 @@
 }
 
 TEST_CASE("a read in many chunks is answered by one; a write passes on; simple replies without the option") {
-    Site t;
+    NbdSite t;
     Wire& wire = t.ready();
     const ChunkMessage read = t.ask(wire, readOf(7, 1024, 3000));
     REQUIRE(read.type == Chunk::data);
@@ -161,7 +83,7 @@
 }
 
 TEST_CASE("a refusal says when to come back; a node without the shard is one") {
-    Site t;
+    NbdSite t;
     Wire& wire = t.ready("nowhere");
     const ChunkMessage refused = t.ask(wire, readOf(1, 0, 512));
     REQUIRE(refused.type == Chunk::error);
@@ -172,7 +94,7 @@
 // Guards against turning a command away beyond the bound without a word of when to come back, as HTTP says
 // it.
 TEST_CASE("beyond the bound on open requests a command is refused and told when to come back") {
-    Site t([](Wire&, const CommandMessage&) {}, 1);
+    NbdSite t([](Wire&, const CommandMessage&) {}, 1);
     Wire& wire = t.ready();
     wire.send(encode(readOf(1, 0, 512)));
     REQUIRE(t.until([&] { return t.node.commands.size() == 1; }));
@@ -185,7 +107,7 @@
 // Guards against taking a command's bytes twice where its answer comes within the call that takes it: such a
 // short deadline is over at once.
 TEST_CASE("commands that are refused at once are each answered once") {
-    Site t;
+    NbdSite t;
     Wire& wire = t.ready("at once");
     wire.send(encode(readOf(1, 0, 512)) + encode(readOf(2, 0, 512)) + encode(readOf(3, 0, 512)));
     for (const std::uint64_t cookie : {1, 2, 3}) {
@@ -199,7 +121,7 @@
 // The plan's limit holds on this front as on the other: 4 units at once, 20 a second; 8 commands of 2 units
 // take over half a second of it.
 TEST_CASE("a plan's limit holds for NBD, and what it does not cover in time is refused") {
-    Site t;
+    NbdSite t;
     Wire& wire = t.ready("capped");
     for (std::uint64_t i = 0; i < 40; ++i) wire.send(encode(readOf(i, 0, 1024)));
     int refused = 0;
@@ -211,7 +133,7 @@
 // NBD has no key by which a node could drop a repeat.
 TEST_CASE("a write that may have run is not sent again; a read is") {
     bool broken = false;
-    Site t([&](Wire& wire, const CommandMessage& c) {
+    NbdSite t([&](Wire& wire, const CommandMessage& c) {
         if (!std::exchange(broken, true)) return wire.close();
         inChunks(wire, c);
     });
@@ -227,7 +149,7 @@
 
 TEST_CASE("a node's error chunk, and one that answers out of place") {
     int turn = 0;
-    Site t([&](Wire& wire, const CommandMessage& c) {
+    NbdSite t([&](Wire& wire, const CommandMessage& c) {
         if (++turn == 1) return chunk(wire, c, Chunk::error, encodeError({Error::io, "disk"}), true);
         if (turn == 2) return chunk(wire, c, Chunk::data, encodeData(c.offset + c.length, "x"), true);
         inChunks(wire, c);
@@ -240,7 +162,7 @@
 
 // Guards against a later command being answered with what came behind an earlier one's reply.
 TEST_CASE("bytes behind a node's reply: it stands, and the connection is not used again") {
-    Site t([&](Wire& wire, const CommandMessage& c) {
+    NbdSite t([&](Wire& wire, const CommandMessage& c) {
         inChunks(wire, c);
         wire.send("more");
     });
@@ -255,7 +177,7 @@
 // Hard case: a reply of many chunks when the client gives up halfway.
 TEST_CASE("a client that leaves mid-reply: its attempt is called off and nothing is answered twice") {
     Wire* half = nullptr;
-    Site t([&](Wire& wire, const CommandMessage& c) {
+    NbdSite t([&](Wire& wire, const CommandMessage& c) {
         if (half != nullptr) return inChunks(wire, c);
         half = &wire;
         chunk(wire, c, Chunk::data, encodeData(c.offset, pattern(c.offset, 512)));
@@ -274,7 +196,7 @@
 
 // Hard case: a server that drains during a handshake. Nothing has run: even a write goes out again.
 TEST_CASE("a node that drains during the handshake never ran the command") {
-    Site t;
+    NbdSite t;
     t.node.draining = 1;
     CHECK(t.ask(t.ready(), writeOf(1, 0, "text")).type == Chunk::none);
     CHECK(t.node.commands.size() == 1);
@@ -284,7 +206,7 @@
 TEST_CASE("the program drains: handshakes are told, commands in work are finished, exit 0") {
     Wire* held = nullptr;
     CommandMessage command;
-    Site t([&](Wire& wire, const CommandMessage& c) {
+    NbdSite t([&](Wire& wire, const CommandMessage& c) {
         held = &wire;
         command = c;
     });
@@ -304,7 +226,7 @@
 }
 
 TEST_CASE("hostile clients: a defined answer or close, and the program stands") {
-    Site t;
+    NbdSite t;
     const auto closes = [&](const std::string& bytes) {
         Wire& wire = t.client();
         wire.send(bytes);
@@ -333,7 +255,7 @@
 }
 
 TEST_CASE("a bad value in the operator's file: one line that names the field, and no start") {
-    Site t;
+    NbdSite t;
     const auto refused = [&](const std::string& field, const std::function<void(Json&)>& spoil) {
         Json nbd = t.world.nbd;
         spoil(nbd);
