--- a/include/limedrum/scheduler.h
+++ b/include/limedrum/scheduler.h
@@ -142,6 +142,13 @@
 struct ReminderEvent {
     std::int64_t token = 0;
 };
+/// The host shuts down: its requests have their answers by then, and no attempt begins any more after the
+/// other moments. Told again, of each moment the earlier one counts.
+struct ShutdownEvent {
+    double firstAttemptUntilMs = 0;    ///< a request taken later is refused
+    double furtherAttemptUntilMs = 0;  ///< also the moment by which any attempt's last byte leaves
+    double answerByMs = 0;
+};
 struct ProbedEvent {
     NodeId node = 0;
     bool answered = false;
@@ -151,7 +158,7 @@
     std::string text;
 };
 using Event = std::variant<ListEvent, RequestEvent, StreamStartedEvent, OutcomeEvent, AbandonedEvent,
-                           ReminderEvent, ProbedEvent, PeerEvent>;
+                           ReminderEvent, ProbedEvent, PeerEvent, ShutdownEvent>;
 
 struct Send {
     RequestId id;
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -1,5 +1,7 @@
 #include "cli/program.h"
 
+#include <algorithm>
+#include <cmath>
 #include <csignal>
 #include <cstdlib>
 #include <map>
@@ -18,6 +20,7 @@
 #include "net/peers.h"
 #include "ops/front.h"
 #include "settings_json/retune.h"
+#include "shutdown/schedule.h"
 #ifdef MARTENCOVE_XDS
 #include "xds/server.h"
 #endif
@@ -40,11 +43,11 @@
           taken_(askForSockets()),
           front_(base_.get(), config_.listen, dispatcher_, pool_, config_.site, config_.limits, log_,
                  taken("http")),
-          term_(base_.get(), SIGTERM, [this] { drain(); }),
-          interrupt_(base_.get(), SIGINT, [this] { drain(); }),
+          term_(base_.get(), SIGTERM, [this] { shutDown(); }),
+          interrupt_(base_.get(), SIGINT, [this] { shutDown(); }),
           hangup_(base_.get(), SIGHUP, [this] { reload(); }),
           usr1_(base_.get(), SIGUSR1, [this] { printCounters(); }),
-          end_(base_.get(), [this] { endSoon(); }),
+          end_(base_.get(), [this] { endWhenNothingIsOwed(); }),
           open_(base_.get(), [this] { open(); }) {
         if (config_.peerListen)
             peers_.emplace(
@@ -131,6 +134,8 @@
             facade_.retune(site.module);  // the last that can throw: from here on all of it is taken
             config_.site = std::move(site);
             config_.limits.retune(next.limits);
+            longestDeadline_.change(clock_.nowMs(), config_.limits.longestDeadlineMs);
+            if (shutdown_) schedule();
             config_.source = next.source;
             counters_.add("config_read");
             log_.info("configuration", "read",
@@ -149,7 +154,7 @@
     }
 
     [[nodiscard]] bool takesClients() const {
-        return opened_ && !aside_ && !drainedMs_ && !front_.evacuating();
+        return opened_ && !aside_ && !shutdown_ && !front_.evacuating();
     }
 
     // A process takes over from another where the platform runs both with one folder, as it does where there
@@ -204,28 +209,48 @@
     }
 
     // New connections still come for a while, and what was taken is finished.
-    void drain() {
-        if (drainedMs_) return;
-        drainedMs_ = clock_.nowMs();
+    void shutDown() {
+        if (shutdown_) return;
+        shutdownSeenMs_ = clock_.nowMs();
+        shutdown_.emplace();
         if (discovery_ && config_.limits.listPushed) open();
-        log_.info("end", "finishing what was taken", {{"open", dispatcher_.open()}});
-        dispatcher_.endBy(*drainedMs_ + config_.limits.drainMostMs - config_.limits.drainAnswerMs);
         front_.drain();
-        end_.start(aside_ ? 0 : config_.limits.drainAcceptMs);
+        schedule();
     }
 
-    void endSoon() {
-        const double passedMs = clock_.nowMs() - *drainedMs_;
-        const Limits& limits = config_.limits;
-        front_.close();
-        if (nbdFront_) nbdFront_->close();
+    // Also where a new configuration brings the end nearer, while it is under way.
+    void schedule() {
+        const double now = clock_.nowMs();
+        const auto steps = ShutdownSchedule::forLongestDeadline(longestDeadline_.at(now));
+        shutdown_ = shutdown_->earlierOf(steps.startingAt(shutdownSeenMs_));
+        const auto spanOf = [this](double ms) { return std::llround(ms - shutdownSeenMs_); };
+        log_.info("end", "finishing what was taken",
+                  {{"open", dispatcher_.open()},
+                   {"first_attempts_ms", spanOf(shutdown_->firstAttemptUntilMs)},
+                   {"answers_ms", spanOf(shutdown_->answerByMs)},
+                   {"exit_ms", spanOf(shutdown_->exitByMs)},
+                   {"sigkill_after_ms", spanOf(shutdown_->killMs)}});
+        dispatcher_.shutDown(*shutdown_);
         // Where another process has the listener, nothing new can come here, and the sooner this one is gone
         // the sooner its clients turn to the other.
-        const double leastMs = aside_ ? 0 : limits.drainAcceptMs + limits.drainQuietMs;
-        const bool quiet = passedMs >= leastMs && dispatcher_.open() == 0 && front_.quiet() &&
-                           (!nbdFront_ || nbdFront_->quiet());
-        if (!quiet && passedMs < limits.drainMostMs) return end_.start(20);
-        log_.info("end", "exits", {{"open", dispatcher_.open()}});
+        end_.start(aside_ ? 0 : shutdown_->acceptUntilMs - now);
+    }
+
+    // Again and again from the listeners' close on.
+    void endWhenNothingIsOwed() {
+        const double now = clock_.nowMs();
+        const bool late = now >= shutdown_->partialRequestUntilMs;
+        const bool closed = front_.closeListener(late);
+        front_.endConnections(late);
+        if (nbdFront_) nbdFront_->close();
+        const bool quiet =
+            closed && dispatcher_.open() == 0 && front_.quiet() && (!nbdFront_ || nbdFront_->quiet());
+        if (!quiet && now < shutdown_->exitByMs)
+            return end_.start(std::min(config_.limits.shutdownLookMs, shutdown_->exitByMs - now));
+        // After a hold-up beyond what the schedule allows for, what has come meanwhile is still to be read, and
+        // answers are still to be written.
+        if (!quiet && !std::exchange(lastTurn_, true)) return end_.start(ShutdownSchedule::kTurnMs);
+        log_.info("end", "exits", {{"open", dispatcher_.open()}, {"connections", front_.connections()}});
         event_base_loopbreak(base_.get());
     }
 
@@ -284,7 +309,10 @@
     Timer end_;
     Timer open_;
     bool opened_ = false;
-    std::optional<double> drainedMs_;
+    LongestDeadline longestDeadline_{config_.limits.longestDeadlineMs};
+    std::optional<ShutdownSchedule> shutdown_;  // its moments, once it has begun
+    double shutdownSeenMs_ = 0;
+    bool lastTurn_ = false;  // the one after its last moment
 };
 
 Program::Program(Config config, Extras extras, LogForm form)
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -86,6 +86,7 @@
     limits.nodeConnections = both * 2 / 5;
     limits.clientConnections = both - limits.nodeConnections;
     limits.keptConnections = limits.clientConnections / 2;
+    limits.lingering = std::min(limits.lingering, limits.clientConnections / 4);
     // All clients together may have as much before them as answers that are held.
     limits.passAhead =
         std::clamp<std::size_t>(limits.answersHeld / limits.clientConnections, 16 * 1024, limits.passAhead);
@@ -122,9 +123,8 @@
         limits.list.mostMs = std::min(limits.list.mostMs, limits.asked.restMs / 1.5);
         limits.list.leastMs = std::min(limits.list.leastMs, limits.list.mostMs);
     }
-    double longestMs = 0;
-    for (const auto& c : out.site.module.classes) longestMs = std::max(longestMs, c.deadlineMs);
-    limits.drainMostMs = std::max(longestMs, 3000.0) + 550;
+    for (const auto& c : out.site.module.classes)
+        limits.longestDeadlineMs = std::max(limits.longestDeadlineMs, c.deadlineMs);
     for (const char* field : {"name", "listen", "limits", "peer_listen", "ops"}) {
         if (const Json* value = find(json, field)) out.fixed[field] = value->dump();
     }
--- a/src/core/dispatcher.cpp
+++ b/src/core/dispatcher.cpp
@@ -37,9 +37,7 @@
     held.planNo = request.planNo;
     held.units = request.units;
     countUnits("units_taken_plan_", held);
-    Request within = request;
-    within.expiresMs = std::min(within.expiresMs, endsMs_);
-    carryOut(facade_.pick(nowMs(), within));
+    carryOut(facade_.pick(nowMs(), request));
     return true;
 }
 
@@ -94,6 +92,8 @@
 
 void Dispatcher::hear(const PeerMessage& message) { carryOut(facade_.report(nowMs(), message)); }
 
+void Dispatcher::shutDown(const ShutdownSchedule& moments) { carryOut(facade_.report(nowMs(), moments)); }
+
 void Dispatcher::tick() { carryOut(facade_.tick(nowMs())); }
 
 std::vector<NodeView> Dispatcher::view() const {
--- a/src/core/dispatcher.h
+++ b/src/core/dispatcher.h
@@ -5,7 +5,6 @@
 
 #include <deque>
 #include <functional>
-#include <limits>
 #include <memory>
 #include <unordered_map>
 
@@ -52,9 +51,9 @@
     void learn(const NodeList& list);
     void hear(const PeerMessage& message);
     void tick();
-    /// The program ends then: what is taken from now on has its answer by that time, however long its client
-    /// would wait.
-    void endBy(double ms) { endsMs_ = ms; }
+    /// The program shuts down by these moments, however long clients would wait. Called again where they get
+    /// earlier.
+    void shutDown(const ShutdownSchedule& moments);
     /// The program ends: lets go of what is still held, before the parts that jobs stand on.
     void letGo() { held_.clear(); }
 
@@ -92,7 +91,6 @@
     DispatcherPorts ports_;
     std::unordered_map<RequestId, Held> held_;  // open, or with attempts out
     std::unordered_map<NodeId, NodeEntry> nodes_;
-    double endsMs_ = std::numeric_limits<double>::infinity();
     std::deque<Todo> todos_;
     bool busy_ = false;
 };
--- a/src/core/facade.cpp
+++ b/src/core/facade.cpp
@@ -78,6 +78,11 @@
     return run(nowMs, limedrum::PeerEvent{message.peer, message.text});
 }
 
+Todo Facade::report(double nowMs, const ShutdownSchedule& moments) {
+    return run(nowMs, limedrum::ShutdownEvent{moments.firstAttemptUntilMs, moments.furtherAttemptUntilMs,
+                                              moments.answerByMs});
+}
+
 Todo Facade::tick(double nowMs) {
     std::vector<limedrum::Event> due;
     while (!timers_.empty() && timers_.begin()->first <= nowMs) {
--- a/src/core/facade.h
+++ b/src/core/facade.h
@@ -10,6 +10,7 @@
 #include <utility>
 
 #include "core/values.h"
+#include "shutdown/schedule.h"
 
 namespace martencove {
 
@@ -27,6 +28,8 @@
     [[nodiscard]] Todo report(double nowMs, const NodeList& list);
     /// A peer said something.
     [[nodiscard]] Todo report(double nowMs, const PeerMessage& message);
+    /// The program shuts down by these moments.
+    [[nodiscard]] Todo report(double nowMs, const ShutdownSchedule& moments);
     /// The settings are others from now on; requests keep the classes and attempts that they were taken with.
     /// Throws std::invalid_argument, and nothing has changed.
     void retune(limedrum::Settings settings) { scheduler_.retune(std::move(settings)); }
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -18,7 +18,8 @@
     std::uint64_t passMost = 1ULL << 30;        // in all: beyond it no length is meant
     std::size_t answersHeld = 8 * 1024 * 1024;  // of all of them that are in memory
     std::size_t headers = 8 * 1024;
-    std::size_t earlyBytes = 8 * 1024;  // of a client's next requests, read while one is in work
+    std::size_t earlyBytes = 8 * 1024;      // of a client's next requests, read while one is in work
+    std::size_t lingerBytes = 1024 * 1024;  // dropped of one client between its last answer and the close
     std::size_t datagram = 256;
     std::size_t datagramCost =
         1280;                      // what a received one takes of the socket's buffer, with the system's part
@@ -41,8 +42,11 @@
     std::size_t datagramsHeld = 8192;  // of all of them
     std::size_t swapSlice = 64;        // changes of nodes told at once, beyond a shard's own
     std::size_t xdsStreams = 16;
+    std::size_t lingering = 64;            // connections between their last answer and the close
+    std::size_t requestsWhileEnding = 64;  // answered on a connection that should end, if sent behind another
     std::size_t nbdClients = 32;
     std::size_t nbdCommands = 16;        // in work for one client
+    std::size_t nbdRefusedAtEnd = 1024;  // of one client, at a shutdown, that came behind those in work
     std::size_t nbdOptions = 64;         // in one handshake
     std::size_t nbdChunks = 1024;        // of one reply
     std::size_t opsConnections = 32;     // at the second address
@@ -78,18 +82,18 @@
     double watchAgainMs = 100;    // the mean rest after a failed call, at least so long
     CallRests list{0, 100, 400};  // of calls to discovery
     CallRests etcd{100, 100, 400};
-    double fileRestMs = 20;       // a file that is written to: read once it rests for so long
-    double fileRestMostMs = 200;  // or has been written to for so long
-    double fileSettleMs = 1000;   // content that is not whole: told of after so long
-    double swapSliceMs = 0.5;     // of the loop's time for a swap of nodes, at once
-    double drainAcceptMs = 450;   // after SIGTERM: new connections are still taken
-    double drainQuietMs = 300;    // and after the listener's close: what is on its way still comes
-    double drainMostMs = 4600;    // and the longest that the end may take
-    double drainAnswerMs = 150;   // before that, what was taken late has its answer: it still has to leave
-    double etcdQuietMs = 30000;   // a watch that says nothing for so long is asked for anew
-    double etcdBadMs = 1000;      // rest after an answer that cannot be read
-    double xdsLookMs = 500;       // between looks at what proxies should be told
-    double notTakenBackMs = 0;    // what a request beyond the bounds is advised to wait; 0: no advice allowed
+    double fileRestMs = 20;        // a file that is written to: read once it rests for so long
+    double fileRestMostMs = 200;   // or has been written to for so long
+    double fileSettleMs = 1000;    // content that is not whole: told of after so long
+    double swapSliceMs = 0.5;      // of the loop's time for a swap of nodes, at once
+    double longestDeadlineMs = 0;  // of the settings' classes: a shutdown counts by it
+    double shutdownLookMs = 20;    // between looks whether anything is still owed
+    double newSilentMs = 300;      // at a shutdown: a new connection that has brought nothing is kept so long
+    double lingerMs = 1000;        // at most, between an answer that ends its connection and the close
+    double etcdQuietMs = 30000;    // a watch that says nothing for so long is asked for anew
+    double etcdBadMs = 1000;       // rest after an answer that cannot be read
+    double xdsLookMs = 500;        // between looks at what proxies should be told
+    double notTakenBackMs = 0;  // what a request beyond the bounds is advised to wait; 0: no advice allowed
     double nbdHandshakeMs = 5000;
     /// Takes over what follows from settings that may change while the program runs.
     void retune(const Limits& next) {
@@ -103,8 +107,7 @@
         watchGraceMs = next.watchGraceMs;
         asked = next.asked;
         list = next.list;
-        drainMostMs =
-            std::max(drainMostMs, next.drainMostMs);  // requests of a dropped class may still be open
+        longestDeadlineMs = next.longestDeadlineMs;
     }
 
     double handoverMs = 1000;      // at a start: for sockets of a process that serves
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -13,8 +13,11 @@
 #include <cmath>
 #include <cstdio>
 #include <stdexcept>
+#include <string_view>
 #include <vector>
 
+#include "http/text.h"
+
 namespace martencove {
 namespace {
 
@@ -188,12 +191,41 @@
     return ioctl(bufferevent_getfd(socket), FIONREAD, &waiting) != 0 || waiting > 0;
 }
 
-/// The same, or it has been read and not taken, or an answer has not been written whole.
+/// The same, or it has been read and not taken.
 bool hasInput(bufferevent* socket) {
-    return unread(socket) || evbuffer_get_length(bufferevent_get_input(socket)) > 0 ||
-           evbuffer_get_length(bufferevent_get_output(socket)) > 0;
+    return unread(socket) || evbuffer_get_length(bufferevent_get_input(socket)) > 0;
+}
+
+/// Whether an answer has not been written whole.
+bool hasOutput(bufferevent* socket) { return evbuffer_get_length(bufferevent_get_output(socket)) > 0; }
+
+/// Whether evhttp ends the connection once the request's answer is written.
+bool endsWithAnswer(evhttp_request* request) {
+    const auto says = [](evkeyvalq* headers, const char* word) {
+        const char* value = evhttp_find_header(headers, "Connection");
+        return value != nullptr && sameText(value, word);
+    };
+    evkeyvalq* asked = evhttp_request_get_input_headers(request);
+    const bool old = request->major < 1 || (request->major == 1 && request->minor < 1);
+    return says(evhttp_request_get_output_headers(request), "close") || says(asked, "close") ||
+           (old && !says(asked, "keep-alive"));
+}
+
+/// Ends a connection as evhttp does where its time is out: at once. After a shutdown it would first read, and
+/// take, a request that comes in that moment, and could not answer it.
+void timeOut(bufferevent* socket) {
+    bufferevent_trigger_event(socket, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+}
+
+/// Whether a connection waits to be accepted.
+bool connectionWaits(evutil_socket_t listener) {
+    pollfd look{listener, POLLIN, 0};
+    return poll(&look, 1, 0) > 0;
 }
 
+constexpr std::string_view kPartialRefusal =
+    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
 }  // namespace
 
 HttpFront::Coming::Coming(bufferevent* b) : buffers(b) {
@@ -210,7 +242,13 @@
     if (letGo(self->buffers)) bufferevent_disable(self->buffers, EV_READ);
 }
 
-bool HttpFront::Coming::rests() const { return !begun && !hasInput(buffers); }
+bool HttpFront::Coming::rests() const { return !begun && !hasInput(buffers) && !hasOutput(buffers); }
+
+// What waits unread may be the rest: that is for evhttp to read first.
+bool HttpFront::Coming::partial() const {
+    const bool come = begun || evbuffer_get_length(bufferevent_get_input(buffers)) > 0;
+    return come && !unread(buffers) && !hasOutput(buffers);
+}
 
 HttpFront::HttpFront(event_base* base, const Address& listen, Dispatcher& dispatcher, NodePool& pool,
                      const limedrum::Site& site, const Limits& limits, Log& log, int listener)
@@ -221,6 +259,7 @@
       limits_(limits),
       log_(log),
       look_(base, [this] { look(); }),
+      lingering_(base, limits, dispatcher.counters()),
       server_(evhttp_new(base)) {
     evhttp_set_max_body_size(server_.get(), static_cast<ev_ssize_t>(limits.body));
     evhttp_set_max_headers_size(server_.get(), static_cast<ev_ssize_t>(limits.headers));
@@ -236,17 +275,56 @@
 
 HttpFront::~HttpFront() = default;
 
-void HttpFront::close() {
-    if (socket_ != nullptr) evhttp_del_accept_socket(server_.get(), socket_);
+// Where another process has the listener too, it takes what waits there.
+bool HttpFront::closeListener(bool atOnce) {
+    if (socket_ == nullptr) return true;
+    if (!atOnce && !yields_ && connectionWaits(listener())) {
+        onHold_ = false;
+        accept(!crowded());
+        return false;
+    }
+    evhttp_del_accept_socket(server_.get(), socket_);
     socket_ = nullptr;
+    return true;
+}
+
+void HttpFront::endConnections(bool refusePartial) {
     closeIdle(connections_.size(), 0);
+    const double before = dispatcher_.nowMs() - limits_.newSilentMs;
+    std::vector<bufferevent*> silent;
+    for (const auto& [buffers, unheard] : unheard_)
+        if (unheard.sinceMs <= before && unheard.coming->rests()) silent.push_back(buffers);
+    for (bufferevent* buffers : silent) timeOut(buffers);
+    if (refusePartial) refusePartialRequests();
+    std::erase_if(unheard_, [](const auto& e) { return letGo(e.first); });
+}
+
+void HttpFront::refusePartialRequests() {
+    const auto refuse = [this](bufferevent* buffers) {
+        dispatcher_.counters().add("request_partial_refused");
+        (void)send(bufferevent_getfd(buffers), kPartialRefusal.data(), kPartialRefusal.size(), MSG_NOSIGNAL);
+    };
+    std::vector<evhttp_connection*> used;
+    for (auto& [connection, client] : connections_) {
+        if (client.busy() || !client.coming->partial()) continue;
+        refuse(client.coming->buffers);
+        client.lingers = true;
+        used.push_back(connection);
+    }
+    for (evhttp_connection* connection : used) evhttp_connection_free(connection);
+    for (auto& [buffers, unheard] : unheard_) {
+        if (letGo(buffers) || !unheard.coming->partial()) continue;
+        refuse(buffers);
+        timeOut(buffers);
+        unheard.coming.reset();
+        lingering_.take(std::move(unheard.buffers));
+    }
+    std::erase_if(unheard_, [](const auto& e) { return e.second.buffers == nullptr; });
 }
 
 bool HttpFront::quiet() const {
-    return std::all_of(connections_.begin(), connections_.end(),
-                       [](const auto& c) { return c.second.rests(); }) &&
-           std::all_of(unheard_.begin(), unheard_.end(),
-                       [](const auto& u) { return letGo(u.first) || u.second.coming->rests(); });
+    return connections_.empty() && lingering_.delivered() &&
+           std::all_of(unheard_.begin(), unheard_.end(), [](const auto& u) { return letGo(u.first); });
 }
 
 void HttpFront::closeIdle(std::size_t most, double idleMs) {
@@ -275,10 +353,7 @@
     }
     std::sort(silent.begin(), silent.end());
     silent.resize(std::min(silent.size(), most));
-    // To evhttp its time is out: it closes the connection now. After a shutdown it would first read, and
-    // take, a request that comes in that moment, and could not answer it.
-    for (const auto& [sinceMs, buffers] : silent)
-        bufferevent_trigger_event(buffers, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+    for (const auto& [sinceMs, buffers] : silent) timeOut(buffers);
     std::erase_if(unheard_, [](const auto& e) { return letGo(e.first); });
     if (!silent.empty()) dispatcher_.counters().add("client_silent", silent.size());
 }
@@ -287,7 +362,7 @@
     const int fd = fcntl(STDERR_FILENO, F_DUPFD_CLOEXEC, 0);  // the lowest that is free
     if (fd >= 0) ::close(fd);
     return fd < 0 || static_cast<std::size_t>(fd) + limits_.spareDescriptors >= limits_.descriptors ||
-           connections_.size() + unheard_.size() >= limits_.clientConnections;
+           connections() + lingering_.size() >= limits_.clientConnections;
 }
 
 void HttpFront::accept(bool on) {
@@ -356,6 +431,7 @@
     if (at == self->connections_.end()) return;
     HttpJob* job = at->second.job;
     evhttp_request* passing = at->second.stream ? at->second.stream->request() : nullptr;
+    if (at->second.lingers) self->lingering_.take(std::move(at->second.buffers));
     self->connections_.erase(at);
     // evhttp has let go of a request whose connection broke by itself.
     if (passing != nullptr && evhttp_request_get_connection(passing) == nullptr) evhttp_request_free(passing);
@@ -378,9 +454,13 @@
         auto unheard = unheard_.extract(buffers);  // none if accepted() had no memory for buffers of its own
         client->second.coming =
             unheard ? std::move(unheard.mapped().coming) : std::make_unique<Coming>(buffers);
+        if (unheard) client->second.buffers = std::move(unheard.mapped().buffers);
         sendAtOnce(bufferevent_getfd(buffers));
     }
-    client->second.coming->begun = false;
+    client->second.lingers = false;
+    // What came behind it in the same bytes is the begin of the next one.
+    const evbuffer* input = bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
+    client->second.coming->begun = evbuffer_get_length(input) > 0;
     std::string wrong;
     if (!framedWell(request, wrong)) return refuse(request, wrong);
     if (path == "/healthz" && (evacuating() || (ready_ && !ready_())))
@@ -414,11 +494,27 @@
     reply(request, 400, "Bad Request");
 }
 
-void HttpFront::mayEnd(evhttp_request* request) {
+bool HttpFront::endsConnections() const {
     // Near the bound a connection that rests is one that another client cannot have.
-    if (draining_ || yields_ || evacuating() ||
-        connections_.size() + unheard_.size() > limits_.keptConnections)
-        evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+    return draining_ || yields_ || evacuating() || connections() > limits_.keptConnections;
+}
+
+// What has come behind the request would be lost with its connection: it has its answer first. Of a client
+// that goes on and on, the answer that ends its connection says that what follows was not taken.
+void HttpFront::mayEnd(evhttp_request* request) {
+    evhttp_connection* connection = evhttp_request_get_connection(request);
+    const auto at = connections_.find(connection);
+    if (at == connections_.end()) return;
+    Client& client = at->second;
+    if (endsConnections() && !endsWithAnswer(request)) {
+        const bool behind = hasInput(evhttp_connection_get_bufferevent(connection)) &&
+                            client.answeredWhileEnding < limits_.requestsWhileEnding;
+        if (behind)
+            ++client.answeredWhileEnding;
+        else
+            evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
+    }
+    client.lingers = endsWithAnswer(request);
 }
 
 void HttpFront::reply(evhttp_request* request, int code, const char* reason, std::string body) {
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -10,6 +10,7 @@
 #include "http/node_link.h"
 #include "http/response_stream.h"
 #include "net/address.h"
+#include "net/lingering_closes.h"
 #include "net/log.h"
 #include "net/loop.h"
 
@@ -44,10 +45,15 @@
     [[nodiscard]] bool evacuating() const { return evacuatedMs_.has_value(); }
     /// From now on each answer ends its connection.
     void drain() { draining_ = true; }
-    /// Takes no new connections and closes those without a request in work or on its way.
-    void close();
-    /// Whether no request is in work or half come, and no answer is still to be written.
-    bool quiet() const;
+    /// Takes no new connections, once those that wait in the listener's queue have been taken; `atOnce`:
+    /// these are left, unread. Whether it is so; called again until then.
+    [[nodiscard]] bool closeListener(bool atOnce);
+    /// Closes the connections that owe nothing. `refusePartial`: a request that has come in part is refused.
+    void endConnections(bool refusePartial);
+    /// Whether no connection is left that may still bring a request, and all answers have arrived.
+    [[nodiscard]] bool quiet() const;
+    /// Connections of clients that are still there.
+    [[nodiscard]] std::size_t connections() const { return connections_.size() + unheard_.size(); }
 
 private:
     friend class HttpJob;
@@ -59,6 +65,10 @@
     void refuse(evhttp_request* request, const std::string& wrong);
     /// Tells the client where its connection ends with this answer.
     void mayEnd(evhttp_request* request);
+    /// Whether connections should end with their answers.
+    [[nodiscard]] bool endsConnections() const;
+    /// Ends connections on which a request has come in part, with a refusal: it never ran.
+    void refusePartialRequests();
     /// The end of an answer that was passed on; where it is not whole, the connection's too.
     void passed(evhttp_connection* connection, bool whole);
     /// Closes connections that have been idle longest; their clients come back on new ones.
@@ -90,6 +100,8 @@
         Coming& operator=(const Coming&) = delete;
         /// Nothing has come since, and what was to leave is written.
         bool rests() const;
+        /// Something has come since and waits for its rest, and what was to leave is written.
+        bool partial() const;
 
         bufferevent* buffers;
         bool begun = false;
@@ -98,6 +110,9 @@
         static void cameIn(evbuffer*, const evbuffer_cb_info* info, void* self);
     };
     struct Client {
+        HeldBuffers buffers;                     // keeps its descriptor for a lingering close
+        bool lingers = false;                    // its present answer ends it
+        std::size_t answeredWhileEnding = 0;     // answers since it should end, as more had come behind each
         HttpJob* job = nullptr;                  // the request in work
         std::unique_ptr<ResponseStream> stream;  // its answer, while that is passed on as it comes
         double usedMs = 0;                       // when the last one came
@@ -119,6 +134,7 @@
     std::function<bool()> ready_;
     evhttp_bound_socket* socket_ = nullptr;
     Timer look_;
+    LingeringCloses lingering_;
     Owned<evhttp> server_;  // last: its end closes the connections
 };
 
--- a/src/limedrum/decide.cpp
+++ b/src/limedrum/decide.cpp
@@ -252,7 +252,8 @@
     void on(const RequestEvent& event) {
         if (requests_.contains(event.id)) return;
         if (event.classNo < 0 || event.classNo >= static_cast<int>(set_.classes.size()) ||
-            !std::isfinite(event.expiresMs) || event.expiresMs <= now_)
+            !std::isfinite(event.expiresMs) || event.expiresMs <= now_ ||
+            now_ > shutdown_.firstAttemptUntilMs)
             return actions_.push_back(Refuse{event.id, std::min(kComeBackMs, set_.maxRetryAfterMs)});
         taken_.add(now_, 1);
         const ClassSettings& cls = set_.classes[event.classNo];
@@ -261,12 +262,12 @@
         r.cap = set_.attemptCap;
         // No client waits longer than its class, nor is a volume met by more hosts than there are: one that
         // says so must not count in what is learned of the others.
-        r.told.expiresMs = std::min(event.expiresMs, now_ + cls.deadlineMs);
+        r.told.expiresMs = std::min({event.expiresMs, now_ + cls.deadlineMs, shutdown_.answerByMs});
         r.told.hostsOfVolume = std::clamp(event.hostsOfVolume, 1, set_.hosts);
         r.told.units = std::clamp(finiteOr(event.units, set_.maxUnits), 0.0, std::max(set_.maxUnits, 1e3));
         if (event.planNo < 0 || event.planNo >= static_cast<int>(set_.plans.size())) r.told.planNo = 0;
         r.takenMs = now_;
-        lookAt(r, now_ + kHoldPart * (r.told.expiresMs - now_));
+        lookAt(r, std::min(now_ + kHoldPart * (r.told.expiresMs - now_), shutdown_.firstAttemptUntilMs));
         // A client's repeat brings what is left of its first try's life: its aim counts from then.
         const double left = r.told.expiresMs - now_;
         const double life = lives_[event.classNo] = std::max(lives_[event.classNo], left);
@@ -520,7 +521,13 @@
         return extras_.units + 1 <= set_.rules.budgetFree + set_.rules.budgetRatio * taken_.units;
     }
 
+    // The shutdown's last moment at which an attempt of the request may begin.
+    double attemptUntilMs(const Request& r) const {
+        return r.attempts == 0 ? shutdown_.firstAttemptUntilMs : shutdown_.furtherAttemptUntilMs;
+    }
+
     bool maySend(Request& r, Node& n) {
+        if (now_ > attemptUntilMs(r)) return false;
         if (r.out > 0 || now_ < r.notBeforeMs || now_ >= r.told.expiresMs - set_.tickMs ||
             (ordered(r) && !lanes_.open(r.told.key, r.told.id, r.attempts == 0, now_)))
             return false;
@@ -550,7 +557,8 @@
         fleet_.active.insert(r.cell);
         ++r.attempts;
         ++r.out;
-        actions_.push_back(Send{r.told.id, n.id, r.told.expiresMs - now_, repeatByMs(r, r.ranMs) - now_});
+        const double startByMs = std::min(repeatByMs(r, r.ranMs), shutdown_.furtherAttemptUntilMs);
+        actions_.push_back(Send{r.told.id, n.id, r.told.expiresMs - now_, startByMs - now_});
     }
 
     void pump(CellId cell) {
@@ -681,7 +689,8 @@
             r.notBeforeMs = now_ + (r.givenUp ? 0 : kRetryAimPart * aimMs_);
             r.givenUp = false;
             const bool pointless = event.outcome == Outcome::moot || event.outcome == Outcome::timedOut ||
-                                   r.streaming || r.notBeforeMs >= r.told.expiresMs - set_.tickMs;
+                                   r.streaming || r.notBeforeMs >= r.told.expiresMs - set_.tickMs ||
+                                   r.notBeforeMs > shutdown_.furtherAttemptUntilMs;
             const bool over = pointless || !mayRepeat(r, r.ranMs) || !budgetAllows();
             if (over) return finish(event.id, retrySpent), pump(flight.cell);
             if (const auto at = fleet_.nodes.find(flight.node); at != fleet_.nodes.end())
@@ -701,6 +710,28 @@
 
     void on(const AbandonedEvent& event) { forget(event.id); }
 
+    // ---- Shutdown ----
+
+    void on(const ShutdownEvent& event) {
+        shutdown_.firstAttemptUntilMs = std::min(shutdown_.firstAttemptUntilMs, event.firstAttemptUntilMs);
+        shutdown_.furtherAttemptUntilMs =
+            std::min(shutdown_.furtherAttemptUntilMs, event.furtherAttemptUntilMs);
+        shutdown_.answerByMs = std::min(shutdown_.answerByMs, event.answerByMs);
+        for (auto& [id, r] : requests_) endWithin(r);
+    }
+
+    // Cuts an open request's time to what the shutdown leaves of it.
+    void endWithin(Request& r) {
+        r.told.expiresMs = std::min(r.told.expiresMs, shutdown_.answerByMs);
+        if (r.dueMs > r.told.expiresMs) {
+            const bool queued = r.queued;
+            if (queued) fleet_.dequeue(r);  // the queue is in the order of due times
+            r.dueMs = r.told.expiresMs;
+            if (queued) fleet_.enqueue(r);
+        }
+        if (!r.streaming) lookAt(r, std::min({r.lookMs, r.told.expiresMs, attemptUntilMs(r)}));
+    }
+
     // The final answer: refused where a repeat is harmless, else failed.
     void finish(const RequestId& id, Cause cause) {
         const auto at = requests_.find(id);
@@ -751,6 +782,11 @@
             if (f.node == n.id) callOff(id, f, n, aimMs_);
     }
 
+    // When a request that goes on is looked at again: one without an attempt out also when none may begin.
+    double nextLookMs(const Request& r) const {
+        const double untilMs = attemptUntilMs(r);
+        return r.lookMs < untilMs ? std::min(r.told.expiresMs, untilMs) : r.told.expiresMs;
+    }
     void lookAt(Request& r, double ms) {
         expiries_.erase({r.lookMs, r.told.id});
         expiries_.emplace(r.lookMs = ms, r.told.id);
@@ -789,7 +825,8 @@
         if (!set_.mayCancel || held == requests_.end()) return;
         Request& r = held->second;
         const bool worth = !r.streaming && now_ + neededMs < r.told.expiresMs &&
-                           nodeOf(fleet_.touch(r.cell)) == &n && !r.givenUp;
+                           now_ <= shutdown_.furtherAttemptUntilMs && nodeOf(fleet_.touch(r.cell)) == &n &&
+                           !r.givenUp;
         if (!worth || !mayRepeat(r, std::min(r.ranMs, f.sentMs)) || !budgetAllows()) return;
         r.givenUp = true;
         actions_.push_back(Cancel{id.first, id.second});
@@ -798,9 +835,11 @@
     void sweep() {
         while (!expiries_.empty() && expiries_.begin()->first - set_.tickMs <= now_) {
             Request& r = requests_.at(expiries_.begin()->second);
-            // One that waits for its key's turn may still get it.
-            const bool over = (r.attempts == 0 && !ordered(r)) || r.lookMs >= r.told.expiresMs;
-            over ? finish(RequestId(r.told.id), expired) : lookAt(r, r.told.expiresMs);
+            // One that waits for its key's turn may still get it, but for a shutdown.
+            const bool mayWait = r.attempts > 0 || ordered(r);
+            const bool mayBegin = r.out > 0 || r.lookMs < attemptUntilMs(r);
+            const bool over = !mayWait || !mayBegin || r.lookMs >= r.told.expiresMs;
+            over ? finish(RequestId(r.told.id), expired) : lookAt(r, nextLookMs(r));
         }
         if (set_.listOnRequest && now_ >= askMs_) {
             actions_.push_back(Subscribe{});
@@ -972,6 +1011,7 @@
     Settings set_;
     Random random_;
     double now_;
+    ShutdownEvent shutdown_{kNever, kNever, kNever};
     double startMs_ = now_, fillMs_ = now_;  // since the second, untouched parts of limits fill
     double aimMs_ = kNever;                  // the tightest
     double roundStartMs_ = std::floor(now_ / kRoundMs) * kRoundMs;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -2,6 +2,7 @@
 #include <CLI/CLI.hpp>
 #include <csignal>
 #include <cstdio>
+#include <cstdlib>
 #include <exception>
 #include <functional>
 #include <map>
@@ -39,6 +40,7 @@
 int serve(const std::string& file, LogForm form) {
     std::signal(SIGPIPE, SIG_IGN);
     std::signal(SIGHUP, SIG_IGN);  // until there is a configuration to read anew
+    std::signal(SIGTERM, [](int) { std::_Exit(EXIT_SUCCESS); });  // until a request may have been taken
     Config config = readConfig();
     Extras extras = readExtras(file, config);
     Program(std::move(config), std::move(extras), form).run();
--- /dev/null
+++ b/src/net/lingering_closes.cpp
@@ -0,0 +1,70 @@
+#include "net/lingering_closes.h"
+
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <utility>
+
+namespace martencove {
+namespace {
+
+/// Bytes that the other machine has not acknowledged; 0 where the system does not say.
+int unacknowledged(evutil_socket_t fd) {
+    int bytes = 0;
+    return ioctl(fd, SIOCOUTQ, &bytes) == 0 ? bytes : 0;
+}
+
+}  // namespace
+
+LingeringCloses::Closing::Closing(LingeringCloses& o, HeldBuffers c)
+    : owner(o),
+      connection(std::move(c)),
+      untilMs(o.clock_.nowMs() + o.limits_.lingerMs),
+      readable(event_new(o.base_, bufferevent_getfd(connection.get()), EV_READ, happened, this)) {
+    shutdown(bufferevent_getfd(connection.get()), SHUT_WR);
+    wait();
+}
+
+void LingeringCloses::Closing::happened(evutil_socket_t, short what, void* arg) {
+    auto* self = static_cast<Closing*>(arg);
+    const bool expired = (what & EV_TIMEOUT) != 0 || self->owner.clock_.nowMs() >= self->untilMs;
+    if (expired || !self->drop()) return self->owner.remove(*self);
+    self->wait();
+}
+
+void LingeringCloses::Closing::wait() {
+    const timeval left = timevalOf(std::max(0.0, untilMs - owner.clock_.nowMs()));
+    event_add(readable.get(), &left);
+}
+
+bool LingeringCloses::Closing::drop() {
+    char some[16 * 1024];
+    const ssize_t got = recv(bufferevent_getfd(connection.get()), some, sizeof some, MSG_DONTWAIT);
+    if (got == 0) return false;
+    if (got < 0) return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
+    if (droppedBytes == 0) owner.counters_.add("client_bytes_dropped");
+    droppedBytes += static_cast<std::size_t>(got);
+    return droppedBytes < owner.limits_.lingerBytes;
+}
+
+void LingeringCloses::take(HeldBuffers connection) {
+    if (!connection || bufferevent_getfd(connection.get()) < 0) return;
+    bufferevent_disable(connection.get(), EV_READ | EV_WRITE);
+    if (closing_.size() >= limits_.lingering) closing_.pop_front();
+    closing_.emplace_back(*this, std::move(connection));
+}
+
+bool LingeringCloses::delivered() const {
+    return std::all_of(closing_.begin(), closing_.end(), [](const Closing& closing) {
+        return unacknowledged(bufferevent_getfd(closing.connection.get())) == 0;
+    });
+}
+
+void LingeringCloses::remove(const Closing& closing) {
+    closing_.remove_if([&](const Closing& c) { return &c == &closing; });
+}
+
+}  // namespace martencove
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -33,7 +33,11 @@
 
 HeldBuffers heldBuffers(event_base* base) {
     bufferevent* buffers = bufferevent_socket_new(base, -1, BEV_OPT_CLOSE_ON_FREE);
-    if (buffers != nullptr) bufferevent_incref(buffers);
+    return buffers == nullptr ? nullptr : referenceTo(buffers);
+}
+
+HeldBuffers referenceTo(bufferevent* buffers) {
+    bufferevent_incref(buffers);
     return HeldBuffers(buffers);
 }
 
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -32,6 +32,8 @@
 /// their descriptor until they are freed. evhttp would else close it while they are held here and still read:
 /// the next connection has its number, and bytes of a request would go to them.
 [[nodiscard]] HeldBuffers heldBuffers(event_base* base);
+/// Another reference to buffers that have an owner.
+[[nodiscard]] HeldBuffers referenceTo(bufferevent* buffers);
 /// Whether evhttp has closed a connection whose buffers are still held.
 [[nodiscard]] bool letGo(bufferevent* buffers);
 
--- /dev/null
+++ b/tests/limedrum/shutdown_test.cpp
@@ -0,0 +1,135 @@
+// The decisions of a host that shuts down: what may still be sent, and that every request has its answer in
+// time.
+#include <doctest/doctest.h>
+
+#include "driver.h"
+
+using namespace limedrum;
+using namespace limedrum::testing;
+
+namespace {
+
+constexpr double kFirstUntilMs = 1000;
+constexpr double kFurtherUntilMs = 1200;
+constexpr double kAnswerByMs = 1400;
+const ShutdownEvent kShutdown{kFirstUntilMs, kFurtherUntilMs, kAnswerByMs};
+
+Settings longDeadlines(Repeat repeat = Repeat::safe) {
+    Settings s = plainSettings();
+    s.classes[0].deadlineMs = 60'000;
+    s.classes[0].repeat = repeat;
+    return s;
+}
+template <typename A>
+const A* firstOf(const std::vector<Action>& actions) {
+    for (const Action& action : actions)
+        if (const auto* found = std::get_if<A>(&action)) return found;
+    return nullptr;
+}
+
+}  // namespace
+
+TEST_CASE("shutdown decisions: what is open is answered by then, however long its client would wait") {
+    Driver d(longDeadlines());
+    d.give(0, request("before", 60'000));
+    d.give(100, kShutdown);
+    d.give(200, request("after", 60'000));
+    d.pass(kAnswerByMs - 5);
+    CHECK(d.answers() == 0);
+    d.pass(kAnswerByMs);
+    CHECK(d.answers("before") == 1);
+    CHECK(d.answers("after") == 1);
+}
+
+TEST_CASE("shutdown decisions: the answer says whether the request may have run") {
+    Driver d(longDeadlines(Repeat::unsafe));
+    d.give(0, request("out", 60'000));
+    d.give(100, kShutdown);
+    d.pass(kAnswerByMs);
+    CHECK(Driver::count<Fail>(d.all, "out") == 1);
+    CHECK(Driver::count<Cancel>(d.all, "out") == 1);
+}
+
+TEST_CASE("shutdown decisions: a request taken after the last first attempt is refused at once") {
+    Driver d(longDeadlines());
+    d.give(100, kShutdown);
+    CHECK(Driver::count<Send>(d.give(kFirstUntilMs, request("in time", 60'000))) == 1);
+    const auto late = d.give(kFirstUntilMs + 1, request("late", 60'000));
+    CHECK(Driver::count<Send>(late) == 0);
+    CHECK(Driver::count<Refuse>(late, "late") == 1);
+}
+
+TEST_CASE("shutdown decisions: a request that waits without an attempt is refused when none may begin") {
+    Settings s = longDeadlines();
+    bool ordered = false;
+    SUBCASE("for a server") {}
+    SUBCASE("for its key's turn") { ordered = true; }
+    s.classes[0].ordered = ordered;
+    Driver d(s);
+    RequestEvent first = request("first", 60'000), second = request("second", 60'000, ordered ? 0 : 7);
+    first.key = second.key = "key";
+    d.give(0, first);
+    d.give(0, second);  // no server holds cell 7
+    REQUIRE(d.sends("second") == 0);
+    d.give(100, kShutdown);
+    d.pass(kFirstUntilMs);
+    CHECK(Driver::count<Refuse>(d.all, "second") == 1);
+    CHECK(d.answers("first") == 0);
+}
+
+TEST_CASE("shutdown decisions: a retry begins within its time, and its last byte leaves within it") {
+    Driver d(longDeadlines());
+    d.give(100, kShutdown);
+    d.give(kFirstUntilMs, request("r", 60'000));
+    const auto* sent = firstOf<Send>(d.last);
+    REQUIRE(sent != nullptr);
+    CHECK(sent->startWithinMs == kFurtherUntilMs - kFirstUntilMs);
+    CHECK(sent->timeoutMs == kAnswerByMs - kFirstUntilMs);
+    SUBCASE("in time") {
+        d.outcome(kFirstUntilMs + 20, "r", 0, 100, Outcome::error);
+        d.pass(kFurtherUntilMs);
+        CHECK(d.sends("r") == 2);
+    }
+    SUBCASE("its rest ends after it: answered at once") {
+        d.outcome(kFurtherUntilMs - 20, "r", 0, 100, Outcome::error);
+        CHECK(d.answers("r") == 1);
+        d.pass(kAnswerByMs + 100);
+        CHECK(d.sends("r") == 1);
+        CHECK(d.answers("r") == 1);
+    }
+}
+
+TEST_CASE("shutdown decisions: a retry that waits when none may begin any more is answered then") {
+    Driver d(longDeadlines());
+    d.give(0, request("r", 60'000));
+    d.give(100, kShutdown);
+    ListEvent gone{ListKind::update, {{.node = 100, .cell = 0, .state = NodeState::gone}}};
+    d.give(kFurtherUntilMs - 200, gone);
+    d.outcome(kFurtherUntilMs - 200, "r", 0, 100, Outcome::connectFailed);
+    REQUIRE(d.answers("r") == 0);
+    d.pass(kFurtherUntilMs);
+    CHECK(d.answers("r") == 1);
+}
+
+TEST_CASE("shutdown decisions: told again, the earlier moments count, and nothing gets later") {
+    Driver d(longDeadlines());
+    d.give(0, request("r", 60'000));
+    d.give(100, kShutdown);
+    d.give(200, ShutdownEvent{kFirstUntilMs + 500, kFurtherUntilMs + 500, kAnswerByMs + 500});
+    d.give(300, ShutdownEvent{400, 500, 600});
+    CHECK(Driver::count<Refuse>(d.give(401, request("late", 60'000)), "late") == 1);
+    d.pass(600);
+    CHECK(d.answers("r") == 1);
+}
+
+TEST_CASE("shutdown decisions: a host that stands still over all of it answers each request once") {
+    Driver d(longDeadlines());
+    d.give(100, kShutdown);
+    for (int i = 0; i < 20; ++i) d.give(200 + i, request(std::to_string(i), 60'000, i % 3));
+    const auto sent = d.sends();
+    const auto actions = d.give(kAnswerByMs + 5000, request("last", 90'000));
+    CHECK(Driver::count<Send>(actions) == 0);
+    CHECK(d.sends() == sent);
+    for (int i = 0; i < 20; ++i) CHECK(d.answers(std::to_string(i)) == 1);
+    CHECK(d.answers("last") == 1);
+}
--- /dev/null
+++ b/tests/program/shutdown_test.cpp
@@ -0,0 +1,400 @@
+// What is owed between SIGTERM and the exit. Each crossing is forced: by a server that holds its answer, a
+// client that holds a byte, a process that stands still, a connection that waits to be accepted. Where a test
+// asks that something comes soon, the deadlines of its settings are so long that a wrong schedule is seconds
+// away.
+#include <doctest/doctest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+
+#include "world.h"
+
+using namespace martencove::test;
+
+namespace {
+
+constexpr int kLongDeadlineMs = 20'000;
+// Far beyond any moment of a schedule that counts 3 s of a deadline at most, far before a deadline's own end.
+constexpr double kLongBeforeDeadlineMs = 10'000;
+
+const auto silent = [](Wire&, const HttpText&) {};
+
+/// A program whose shard 5 is held by one server, which says nothing unless told otherwise.
+struct Site {
+    explicit Site(
+        HttpNode::Answer answer = silent, const std::function<void(World&)>& set = [](World&) {})
+        : node(world.base.get(), std::move(answer)) {
+        set(world);
+        world.config["known"]["hosts"] = Json::array({world.entry("s-1", node.listener.address, 5, "ready")});
+        world.start();
+    }
+    /// A client that has sent a request, which the server holds.
+    Wire& heldClient(const std::string& id, int deadlineMs = 5000) {
+        Wire& client = world.connect();
+        const std::size_t before = node.requests.size();
+        client.send(world.request(id, "", deadlineMs));
+        REQUIRE(world.until([&] { return node.requests.size() == before + 1; }));
+        return client;
+    }
+    /// A client of whose request the last `rest` has not been sent.
+    Wire& halfClient(const std::string& text, std::size_t sent) {
+        Wire& client = world.connect();
+        client.send(text.substr(0, sent));
+        REQUIRE(world.until([&] { return client.connected; }));
+        world.rest();
+        return client;
+    }
+    void terminate() {
+        world.signal(SIGTERM);
+        REQUIRE(logged("end: finishing"));
+    }
+    bool logged(const std::string& text, double mostMs = 20'000) {
+        return world.until([&] { return world.log.find(text) != std::string::npos; }, mostMs);
+    }
+    /// The next answer on a connection; nothing where that ends without one.
+    std::optional<HttpText> answer(Wire& client, double mostMs = 20'000) {
+        std::optional<HttpText> out;
+        (void)world.until([&] { return (out = takeHttp(client.got)).has_value() || client.closed; }, mostMs);
+        return out;
+    }
+
+    World world;
+    HttpNode node;
+};
+
+void longDeadlines(World& world) {
+    for (Json& one : world.config["settings"]["Classes"]) one["DeadlineMs"] = kLongDeadlineMs;
+}
+void deadlinesOf(World& world, int ms) {
+    for (Json& one : world.config["settings"]["Classes"]) one["DeadlineMs"] = ms;
+}
+
+}  // namespace
+
+// Guards against a schedule that counts the whole of a long deadline: SIGKILL counts 3 s of it.
+TEST_CASE(
+    "shutdown: a request whose server hangs has its answer long before its deadline, and 0 is returned") {
+    Site t(silent, longDeadlines);
+    Wire* client = nullptr;
+    SUBCASE("taken before SIGTERM") {
+        client = &t.heldClient("0000000000000001", kLongDeadlineMs);
+        t.terminate();
+    }
+    SUBCASE("taken after it") {
+        t.terminate();
+        client = &t.heldClient("0000000000000001", kLongDeadlineMs);
+    }
+    const auto answer = t.answer(*client, kLongBeforeDeadlineMs);
+    REQUIRE(answer);
+    CHECK(answer->code() == 503);  // a read, harmless to repeat
+    CHECK(t.world.end() == 0);
+    CHECK(t.world.log.find("end: exits open=0") != std::string::npos);
+}
+
+// Guards against a connection that comes up late and takes a request along when its answer is due.
+TEST_CASE(
+    "shutdown: a request whose connection never comes up has its answer, and nothing is sent after it") {
+    World world;
+    Jam jam;
+    longDeadlines(world);
+    world.config["settings"]["Limits"]["DialTimeoutMs"] = 60'000;
+    world.config["known"]["hosts"] = Json::array({world.entry("s-1", jam.address, 5, "ready")});
+    world.start();
+    Wire& client = world.connect();
+    client.send(world.request("0000000000000001", "", kLongDeadlineMs));
+    REQUIRE(world.until([&] { return world.counter("attempt_sent") == 1; }));
+    world.signal(SIGTERM);
+    std::optional<HttpText> answer;
+    (void)world.until([&] { return (answer = takeHttp(client.got)).has_value() || client.closed; },
+                      kLongBeforeDeadlineMs);
+    REQUIRE(answer);
+    CHECK(answer->code() == 503);
+    CHECK(jam.text().empty());
+    CHECK(world.end() == 0);
+}
+
+// Guards against a request that is read so late that its server cannot answer any more: the process stands
+// still while the last byte and the last moment for a first attempt pass.
+TEST_CASE("shutdown: a request that is read too late is refused and not sent on") {
+    Site t(silent, [](World& world) { deadlinesOf(world, 1000); });
+    Wire& held = t.heldClient("0000000000000001", 1000);
+    const std::string text = t.world.request("0000000000000002", "", 1000);
+    Wire& late = t.halfClient(text, 20);
+    t.terminate();
+    t.world.signal(SIGSTOP);
+    late.send(text.substr(20));
+    (void)t.world.until([] { return false; }, 1200);  // first attempts may begin for 0.97 s
+    t.world.signal(SIGCONT);
+    const auto answer = t.answer(late);
+    REQUIRE(answer);
+    CHECK(answer->code() == 503);
+    CHECK(answer->header("Connection") == "close");
+    REQUIRE(t.answer(held));
+    CHECK(t.node.requests.size() == 1);
+    CHECK(t.world.end() == 0);
+}
+
+// Guards against an exit over what came while the process stood still for longer than the schedule allows
+// for.
+TEST_CASE(
+    "shutdown: a process that stands still beyond its last moment answers what has come before it exits") {
+    Site t(silent, [](World& world) { deadlinesOf(world, 1000); });
+    Wire& held = t.heldClient("0000000000000001", 1000);
+    const std::string text = t.world.request("0000000000000002", "", 1000);
+    Wire& late = t.halfClient(text, 20);
+    t.terminate();
+    t.world.signal(SIGSTOP);
+    late.send(text.substr(20));
+    (void)t.world.until([] { return false; }, 1700);
+    t.world.signal(SIGCONT);
+    const auto answer = t.answer(late);
+    REQUIRE(answer);
+    CHECK(answer->code() == 503);
+    REQUIRE(t.answer(held));
+    CHECK(t.node.requests.size() == 1);
+    CHECK(t.world.end() == 0);
+}
+
+// Guards against an end of the connection behind an answer, while what its client sent next has been read.
+TEST_CASE("shutdown: requests that were sent behind one another are all answered") {
+    Site t(silent, longDeadlines);
+    Wire& client = t.heldClient("0000000000000001", kLongDeadlineMs);
+    client.send(t.world.request("0000000000000002", "", kLongDeadlineMs) +
+                t.world.request("0000000000000003", "", kLongDeadlineMs));
+    t.world.rest();
+    t.terminate();
+    for (int i = 0; i < 3; ++i) {
+        const auto answer = t.answer(client, kLongBeforeDeadlineMs);
+        REQUIRE(answer);
+        CHECK(answer->code() == 503);
+    }
+    CHECK(t.node.requests.size() == 1);
+    CHECK(t.world.end() == 0);
+}
+
+TEST_CASE("shutdown: half a request is refused, and does not hold the exit up") {
+    Site t(silent, longDeadlines);
+    const std::string text = t.world.request("0000000000000001", "", kLongDeadlineMs, "the body");
+    Wire* client = nullptr;
+    bool trickles = false;
+    SUBCASE("half of its head, on a new connection") { client = &t.halfClient(text, 20); }
+    SUBCASE("its head, on a new connection") { client = &t.halfClient(text, text.find("the body")); }
+    SUBCASE("half of its head, on a connection that has been used") {
+        client = &t.halfClient("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n" + text, 60);
+        REQUIRE(t.answer(*client));
+    }
+    SUBCASE("its head, behind another one in the same bytes") {
+        const std::string both = "GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n" + text;
+        client = &t.halfClient(both, both.find("the body"));
+        REQUIRE(t.answer(*client));
+    }
+    SUBCASE("a client that goes on byte by byte") {
+        client = &t.halfClient(text, 20);
+        trickles = true;
+    }
+    t.terminate();
+    std::optional<HttpText> answer;
+    std::size_t sent = 20;
+    REQUIRE(t.world.until(
+        [&] {
+            if (trickles && !client->closed && sent < 60) client->send(text.substr(sent++, 1));
+            return (answer = takeHttp(client->got)).has_value() || client->closed;
+        },
+        kLongBeforeDeadlineMs));
+    REQUIRE(answer);
+    CHECK(answer->code() == 503);
+    CHECK(answer->header("Connection") == "close");
+    REQUIRE(t.logged("end: exits", kLongBeforeDeadlineMs));
+    CHECK(t.world.end() == 0);
+    CHECK(t.node.requests.empty());
+}
+
+// Guards against a close over bytes that nobody has read: it resets the connection, and the end of the answer
+// that is on its way goes with it.
+TEST_CASE("shutdown: an answer arrives whole, though its client sends more behind its request") {
+    const std::string body(48'000, 'y');
+    Wire* held = nullptr;
+    Site t([&](Wire& wire, const HttpText&) { held = &wire; });
+    const int fd = socket(AF_INET, SOCK_STREAM, 0);
+    const int small = 4096;  // most of the answer has to wait at the program's side
+    setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof small);
+    const sockaddr_in to = t.world.listen.socketAddress();
+    REQUIRE(connect(fd, reinterpret_cast<const sockaddr*>(&to), sizeof to) == 0);
+    const std::string text = t.world.request("0000000000000001");
+    REQUIRE(::send(fd, text.data(), text.size(), MSG_NOSIGNAL) == static_cast<ssize_t>(text.size()));
+    REQUIRE(t.world.until([&] { return held != nullptr; }));
+    t.terminate();
+    held->send(httpReply(200, body));
+    REQUIRE(t.world.until([&] { return t.world.counter("answer_served") == 1; }));
+    t.world.rest();
+    // Pieces, so that some come before the close and some behind it.
+    for (int i = 0; i < 10; ++i) {
+        (void)!::send(fd, text.data(), 20, MSG_NOSIGNAL);
+        t.world.rest();
+    }
+    std::string got;
+    char some[4096];
+    for (ssize_t more = 0; (more = recv(fd, some, sizeof some, 0)) > 0;)
+        got.append(some, static_cast<std::size_t>(more));
+    close(fd);
+    const auto answer = takeHttp(got);
+    REQUIRE(answer);
+    CHECK(answer->body == body);
+    CHECK(t.world.end() == 0);
+}
+
+// Guards against a listener that is closed over connections that nobody has accepted, as none may come while
+// requests in work hold all descriptors.
+TEST_CASE("shutdown: connections that wait to be accepted are taken and answered once there is room") {
+    constexpr int kClients = 40;  // more than the program has descriptors for
+    std::vector<Wire*> held;
+    bool holds = true;
+    Site t([&](Wire& wire, const HttpText& request) { holds ? held.push_back(&wire) : serve(wire, request); },
+           [](World& world) {
+               longDeadlines(world);
+               world.config["limits"]["sockets"] = 64;
+           });
+    t.world.signal(SIGSTOP);
+    std::vector<Wire*> clients;
+    for (int i = 0; i < kClients; ++i) {
+        clients.push_back(&t.world.connect());
+        clients.back()->send(t.world.request("00000000000000" + std::to_string(10 + i), "", kLongDeadlineMs));
+    }
+    REQUIRE(t.world.until([&] {
+        return std::all_of(clients.begin(), clients.end(),
+                           [](const Wire* client) { return client->connected; });
+    }));
+    t.world.signal(SIGTERM);
+    t.world.signal(SIGCONT);
+    REQUIRE(t.world.until([&] { return !held.empty(); }));
+    (void)t.world.until([] { return false; }, 600);  // the listener's time is over
+    holds = false;
+    for (Wire* wire : held) wire->send(httpReply(200, "late"));
+    for (Wire* client : clients) {
+        const auto answer = t.answer(*client, kLongBeforeDeadlineMs);
+        REQUIRE(answer);
+        CHECK((answer->code() == 200 || answer->code() == 503));
+    }
+    CHECK(t.world.end() == 0);
+}
+
+TEST_CASE("shutdown: a process that stands still while its listener should close loses no connection") {
+    Site t(serve);
+    t.terminate();
+    t.world.signal(SIGSTOP);
+    Wire& client = t.world.connect();
+    client.send(t.world.request("0000000000000001"));
+    REQUIRE(t.world.until([&] { return client.connected; }));
+    (void)t.world.until([] { return false; }, 700);
+    t.world.signal(SIGCONT);
+    const auto answer = t.answer(client);
+    REQUIRE(answer);
+    CHECK(answer->code() == 200);
+    CHECK(t.world.end() == 0);
+}
+
+TEST_CASE("shutdown: SIGTERM before the first list: clients that wait are served") {
+    World world;
+    HttpNode node(world.base.get(), serve);
+    world.config["known"]["hosts"] = Json::array({world.entry("s-1", node.listener.address, 5, "ready")});
+    world.config["settings"]["Rules"]["DrainGraceMs"] = 60'000;  // it waits for a list for 0.4 s
+    world.answerLists(false);
+    world.startAndTerminate();
+    Wire& client = world.connect();
+    client.send(world.request("0000000000000001"));
+    std::optional<HttpText> answer;
+    (void)world.until([&] { return (answer = takeHttp(client.got)).has_value() || client.closed; });
+    REQUIRE(answer);
+    CHECK(answer->code() == 200);
+    CHECK(world.end() == 0);
+}
+
+TEST_CASE("shutdown: clients that rest or say nothing hold the exit up no longer than the listener is open") {
+    Site t(silent, longDeadlines);
+    Wire& rests = t.world.connect();
+    rests.send("GET /healthz HTTP/1.1\r\nHost: b\r\n\r\n");
+    REQUIRE(t.answer(rests));
+    Wire& says = t.world.connect();
+    REQUIRE(t.world.until([&] { return says.connected; }));
+    t.terminate();
+    REQUIRE(t.logged("end: exits", kLongBeforeDeadlineMs));
+    CHECK(t.world.end() == 0);
+    CHECK(t.world.until([&] { return rests.closed && says.closed; }));
+    CHECK(rests.got.empty());
+    CHECK(says.got.empty());
+}
+
+TEST_CASE("shutdown: a long answer that stands still is cut short of its length, and the program ends") {
+    const std::string part(200'000, 'y');
+    Site t([&](Wire& wire,
+               const HttpText&) { wire.send("HTTP/1.1 200 OK\r\nContent-Length: 400000\r\n\r\n" + part); },
+           longDeadlines);
+    Wire& client = t.world.connect();
+    client.send(t.world.request("0000000000000001", "", kLongDeadlineMs));
+    REQUIRE(t.world.until([&] { return client.got.size() >= part.size(); }));
+    t.terminate();
+    // Its answer may stand still for 10 s without a shutdown.
+    REQUIRE(t.logged("end: exits", 8000));
+    REQUIRE(t.world.until([&] { return client.closed; }));
+    CHECK(client.got.size() < 400'000);
+    CHECK(t.world.end() == 0);
+}
+
+TEST_CASE("shutdown: a second signal changes nothing") {
+    Site t(silent, longDeadlines);
+    Wire& client = t.heldClient("0000000000000001", kLongDeadlineMs);
+    t.terminate();
+    SUBCASE("SIGTERM") { t.world.signal(SIGTERM); }
+    SUBCASE("SIGINT") { t.world.signal(SIGINT); }
+    const auto answer = t.answer(client, kLongBeforeDeadlineMs);
+    REQUIRE(answer);
+    CHECK(answer->code() == 503);
+    CHECK(t.world.end() == 0);
+}
+
+// Guards against a shutdown that still counts by deadlines that are no more, and one that grows under way.
+TEST_CASE("shutdown: the shorter of the deadlines before and after a SIGHUP counts") {
+    int before = 2500, after = 300;
+    bool during = false;
+    SUBCASE("shorter ones, just before SIGTERM") {}
+    SUBCASE("shorter ones, during the shutdown") { during = true; }
+    SUBCASE("longer ones, just before SIGTERM") { std::swap(before, after); }
+    SUBCASE("longer ones, during the shutdown") {
+        std::swap(before, after);
+        during = true;
+    }
+    Site t(silent, [&](World& world) { deadlinesOf(world, before); });
+    if (during) t.terminate();
+    deadlinesOf(t.world, after);
+    t.world.rewrite();
+    t.world.signal(SIGHUP);
+    REQUIRE(t.logged("configuration: read"));
+    if (!during) t.terminate();
+    // 300 ms and 0.7 s, less what may pass until the signal is seen.
+    CHECK(t.logged("sigkill_after_ms=830", 1000));
+    CHECK(t.world.end() == 0);
+}
+
+// Guards against the default action, which ends a process that has not got to its signals yet with 143.
+TEST_CASE("shutdown: SIGTERM while the configuration is read ends the program with 0") {
+    World world;
+    CHECK(world.terminateWhileConfigured() == 0);
+}
+
+TEST_CASE("shutdown: evacuated, requests that were sent behind one another are all answered") {
+    FreeAddress ops;
+    Site t(serve, [&](World& world) { world.config["ops"] = ops.text(); });
+    Wire& caller = t.world.connect(ops);
+    caller.send("PUT /api/evacuate HTTP/1.1\r\nHost: o\r\nContent-Length: 0\r\n\r\n");
+    REQUIRE(t.answer(caller));
+    Wire& client = t.world.connect();
+    client.send(t.world.request("0000000000000001") + t.world.request("0000000000000002"));
+    for (int i = 0; i < 2; ++i) {
+        const auto answer = t.answer(client);
+        REQUIRE(answer);
+        CHECK(answer->code() == 200);
+    }
+    CHECK(t.world.until([&] { return client.closed; }));
+    CHECK(t.world.end() == 0);
+}
--- a/tests/program/world.cpp
+++ b/tests/program/world.cpp
@@ -4,6 +4,7 @@
 #include <event2/listener.h>
 #include <fcntl.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -50,19 +51,9 @@
     return field + " {\n" + out + "}\n";
 }
 
-pid_t spawn(const std::string& folder, const Json& config, const Json& extras,
-            const std::vector<std::string>& more = {}, const std::string& shared = {}) {
-    std::ofstream(folder + "/config.json") << config;
-    std::vector<std::string> words{"martencove"};
-    words.insert(words.end(), more.begin(), more.end());
-    std::string sections;
-    for (const auto& [name, section] : extras.items()) {
-        if (!section.is_null()) sections += textOf(name, section);
-    }
-    if (!sections.empty()) {
-        words.insert(words.end(), {"--operator", folder + "/operator.textproto"});
-        std::ofstream(words.back()) << sections;
-    }
+/// Starts the program on the configuration in `folder`.
+pid_t launch(const std::string& folder, const Json& config, std::vector<std::string> words,
+             const std::string& shared) {
     std::vector<char*> argv;
     for (std::string& word : words) argv.push_back(word.data());
     argv.push_back(nullptr);
@@ -79,6 +70,23 @@
     _exit(127);
 }
 
+/// Writes the configuration and the operator's file, and starts the program on them.
+pid_t spawn(const std::string& folder, const Json& config, const Json& extras,
+            const std::vector<std::string>& more = {}, const std::string& shared = {}) {
+    std::ofstream(folder + "/config.json") << config;
+    std::vector<std::string> words{"martencove"};
+    words.insert(words.end(), more.begin(), more.end());
+    std::string sections;
+    for (const auto& [name, section] : extras.items()) {
+        if (!section.is_null()) sections += textOf(name, section);
+    }
+    if (!sections.empty()) {
+        words.insert(words.end(), {"--operator", folder + "/operator.textproto"});
+        std::ofstream(words.back()) << sections;
+    }
+    return launch(folder, config, std::move(words), shared);
+}
+
 std::string newFolder() {
     std::string name = std::filesystem::temp_directory_path() / "martencove-XXXXXX";
     if (mkdtemp(name.data()) == nullptr) throw std::runtime_error("no folder for the test");
@@ -326,12 +334,35 @@
 void World::start() { startUntil("HTTP/1.1 200"); }
 void World::startUnready() { startUntil("HTTP/1.1 "); }
 
-void World::startUntil(const std::string& answer) {
+void World::startAndTerminate() {
+    launch();
+    if (!until([this] { return log.find("start: listens") != std::string::npos || !running(); }))
+        throw std::runtime_error("the program does not start: " + contents(folder_ + "/log"));
+    signal(SIGTERM);
+}
+
+int World::terminateWhileConfigured() {
+    const std::string path = folder_ + "/config.json";
+    if (mkfifo(path.c_str(), 0600) != 0) throw std::runtime_error("no FIFO for the configuration");
+    pid_ = martencove::test::launch(folder_, config, {"martencove"}, shared);
+    std::ofstream pipe(path);  // opens once the program has opened it too
+    signal(SIGTERM);
+    pipe << config;
+    pipe.close();
+    (void)until([this] { return !running(); });
+    return WIFEXITED(exit_) ? WEXITSTATUS(exit_) : 128 + WTERMSIG(exit_);
+}
+
+void World::launch() {
     if (config["known"].is_object() && config["known"]["hosts"].is_array())
         for (const Json& host : config["known"]["hosts"])
             if (host.is_object() && host.contains("host")) hosts_.try_emplace(host["host"], host);
     pid_ = spawn(folder_, config, {{"nbd", nbd}, {"etcd", etcd}, {"xds", xds}, {"nodes", nodes}}, arguments,
                  shared);
+}
+
+void World::startUntil(const std::string& answer) {
+    launch();
     std::unique_ptr<Wire> health;
     const bool up = until([&] {
         if (whileStarting) whileStarting();
--- a/tests/program/world.h
+++ b/tests/program/world.h
@@ -124,6 +124,10 @@
     void start();
     /// The same, until it answers at all.
     void startUnready();
+    /// Starts it and tells it to end as soon as it listens.
+    void startAndTerminate();
+    /// Tells it to end while it reads its configuration; its exit code.
+    [[nodiscard]] int terminateWhileConfigured();
     /// Runs the loop until it holds. The time-out only keeps a broken program from hanging the test.
     [[nodiscard]] bool until(const std::function<bool()>& holds, double mostMs = 20000);
     /// Waits for longer than a node's connection rests after an answer.
@@ -176,6 +180,7 @@
     void fallSilent() { waiting_.clear(); }
 
 private:
+    void launch();
     void startUntil(const std::string& answer);
     void answerWatches();
     void readLog();
--- /dev/null
+++ b/tests/shutdown/schedule_test.cpp
@@ -0,0 +1,123 @@
+// Whether each step of a shutdown leaves room for a process that is held up there, whatever the deadlines.
+#include "shutdown/schedule.h"
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <vector>
+
+using martencove::LongestDeadline;
+using martencove::ShutdownSchedule;
+
+namespace {
+
+constexpr double kStallMs = ShutdownSchedule::kStallMs;
+constexpr double kTurnMs = ShutdownSchedule::kTurnMs;
+constexpr double kWayOutMs = ShutdownSchedule::kWayOutMs;
+
+/// When SIGKILL comes at the earliest, counted from SIGTERM, by the protocol's words.
+double killAfterSigterm(double deadlineMs) { return (deadlineMs > 3000 ? 3000 : deadlineMs) + 700; }
+
+const std::vector<double>& deadlines() {
+    static const std::vector<double> all{1,    50,   200,  300,  750,  1500,  2000,
+                                         2999, 3000, 3001, 4000, 5000, 60'000};
+    return all;
+}
+
+/// The steps at which a process may be held up, once in all.
+enum class Stalled { nowhere, signal, attempt, answer, exit };
+constexpr Stalled kStalls[] = {Stalled::nowhere, Stalled::signal, Stalled::attempt, Stalled::answer,
+                               Stalled::exit};
+
+double stallAt(Stalled where, Stalled step) { return where == step ? kStallMs : 0; }
+
+}  // namespace
+
+TEST_CASE(
+    "shutdown schedule: SIGKILL counts at most 3 s of the longest deadline, and the signal may be late") {
+    for (const double deadlineMs : deadlines()) {
+        CAPTURE(deadlineMs);
+        const auto steps = ShutdownSchedule::forLongestDeadline(deadlineMs);
+        CHECK(steps.killMs + kStallMs + kTurnMs == killAfterSigterm(deadlineMs));
+    }
+}
+
+TEST_CASE("shutdown schedule: the steps are in their order") {
+    for (const double deadlineMs : deadlines()) {
+        CAPTURE(deadlineMs);
+        const auto steps = ShutdownSchedule::forLongestDeadline(deadlineMs);
+        CHECK(steps.acceptUntilMs >= 0);
+        CHECK(steps.acceptUntilMs <= steps.partialRequestUntilMs);
+        CHECK(steps.partialRequestUntilMs <= steps.answerByMs);
+        CHECK(steps.firstAttemptUntilMs >= 0);
+        CHECK(steps.firstAttemptUntilMs <= steps.furtherAttemptUntilMs);
+        CHECK(steps.furtherAttemptUntilMs <= steps.answerByMs);
+        CHECK(steps.answerByMs < steps.exitByMs);
+        CHECK(steps.exitByMs < steps.killMs);
+    }
+}
+
+TEST_CASE("shutdown schedule: with a stall at any one step all answers have left before SIGKILL") {
+    for (const double deadlineMs : deadlines()) {
+        for (const Stalled where : kStalls) {
+            CAPTURE(deadlineMs);
+            CAPTURE(static_cast<int>(where));
+            const auto steps = ShutdownSchedule::forLongestDeadline(deadlineMs);
+            const double seenMs = kTurnMs + stallAt(where, Stalled::signal);
+            const auto moments = steps.startingAt(seenMs);
+            // An attempt that was decided in the last moment leaves before its request's answer is due.
+            const double sentMs = moments.furtherAttemptUntilMs + stallAt(where, Stalled::attempt);
+            if (steps.furtherAttemptUntilMs > 0) CHECK(sentMs < moments.answerByMs);
+            // The answers are handed over a turn after they were due, and reach the client in time.
+            const double handedMs = moments.answerByMs + kTurnMs + stallAt(where, Stalled::answer);
+            CHECK(handedMs <= moments.exitByMs);
+            CHECK(handedMs + kWayOutMs <= killAfterSigterm(deadlineMs));
+            // A hold-up at the exit delays no answer: all of them are with the kernel.
+            CHECK(moments.exitByMs + kTurnMs + kWayOutMs <= killAfterSigterm(deadlineMs));
+        }
+    }
+}
+
+TEST_CASE("shutdown schedule: usual deadlines leave the listener open for as long as new connections come") {
+    for (const double deadlineMs : deadlines()) {
+        if (deadlineMs < 200) continue;
+        CAPTURE(deadlineMs);
+        const auto steps = ShutdownSchedule::forLongestDeadline(deadlineMs);
+        CHECK(steps.acceptUntilMs >= 400);
+    }
+}
+
+TEST_CASE("shutdown schedule: of two schedules each step counts at its earlier moment") {
+    const auto late = ShutdownSchedule::forLongestDeadline(3000).startingAt(1000);
+    const auto soon = ShutdownSchedule::forLongestDeadline(500).startingAt(2000);
+    const auto both = late.earlierOf(soon);
+    CHECK(both.killMs == std::min(late.killMs, soon.killMs));
+    CHECK(both.killMs == soon.earlierOf(late).killMs);
+    CHECK(both.acceptUntilMs == late.acceptUntilMs);
+    CHECK(both.answerByMs == soon.answerByMs);
+    CHECK(both.exitByMs == soon.exitByMs);
+    CHECK(both.furtherAttemptUntilMs == soon.furtherAttemptUntilMs);
+}
+
+TEST_CASE("longest deadline: a shorter one counts at once, a longer one once it has settled") {
+    LongestDeadline longest(2000);
+    longest.change(10'000, 500);
+    CHECK(longest.at(10'000) == 500);
+    longest.change(11'000, 4000);
+    CHECK(longest.at(11'001) == 500);
+    CHECK(longest.at(14'999) == 500);
+    CHECK(longest.at(15'000) == 4000);
+}
+
+TEST_CASE("longest deadline: changes in quick succession count by the shortest of them") {
+    LongestDeadline longest(1000);
+    longest.change(0, 3000);
+    longest.change(100, 2000);
+    CHECK(longest.at(200) == 1000);
+    CHECK(longest.at(4100) == 2000);
+    longest.change(5000, 900);
+    longest.change(5100, 2000);
+    longest.change(5200, 800);
+    CHECK(longest.at(5200) == 800);
+    CHECK(longest.at(60'000) == 800);
+}
