NBD: answer all commands that have come at a shutdown, and see a paused client leave

Seen: at a shutdown a client that had commands behind the 16 in work lost the last replies: Session::endIfDone closed over unread bytes, which resets the connection. A client that left while its reading was paused was not seen, and its attempts ran on. And the pause itself did not pause: at libevent's high watermark bufferevent_inbuf_wm_check calls the read callback back without a rest, 400,000 times in 0.25 s as counted by a trial line in Session::read, until a command was done.

--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -1,6 +1,8 @@
 #include "nbd/front.h"
 
 #include <event2/listener.h>
+#include <poll.h>
+#include <sys/ioctl.h>
 #include <unistd.h>
 
 #include <algorithm>
@@ -30,9 +32,9 @@
     Session(Front& front, evutil_socket_t fd)
         : front_(front),
           socket_(bufferevent_socket_new(front.base_, fd, BEV_OPT_CLOSE_ON_FREE)),
-          handshake_(front.base_, [this] { drop("handshake took too long"); }) {
+          handshake_(front.base_, [this] { drop("handshake took too long"); }),
+          left_(front.base_, [this] { lookWhetherLeft(); }) {
         bufferevent_setcb(socket_.get(), readable, written, happened, this);
-        bufferevent_setwatermark(socket_.get(), EV_READ, 0, 2 * front.limits_.body);
         bufferevent_enable(socket_.get(), EV_READ | EV_WRITE);
         handshake_.start(front.limits_.nbdHandshakeMs);
         write(encode(Greeting{kFixedNewstyle | kNoZeroes}));
@@ -42,6 +44,8 @@
     void drain() {
         if (state_ == State::flags) return end();
         if (state_ != State::commands) return;  // the next option is told so
+        const bool idle = jobs_.empty() && evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0;
+        if (idle) replied_ = false;
         read();
         endIfDone();
     }
@@ -59,11 +63,16 @@
     friend class Front;
     enum class State { flags, options, commands, ending };
 
-    static void readable(bufferevent*, void* self) { static_cast<Session*>(self)->read(); }
+    static void readable(bufferevent*, void* arg) {
+        auto* self = static_cast<Session*>(arg);
+        self->read();
+        self->endIfDone();
+    }
     static void written(bufferevent*, void* arg) {
         auto* self = static_cast<Session*>(arg);
         if (self->state_ == State::ending && self->jobs_.empty()) return self->front_.remove(*self);
         self->read();
+        self->endIfDone();
     }
     static void happened(bufferevent*, short, void* arg) { static_cast<Session*>(arg)->lost(); }
 
@@ -82,7 +91,24 @@
             evbuffer_drain(input, size - rest.size());
         }
         reading_ = false;
-        if (got == Got::bad) drop("malformed message");
+        if (got == Got::bad) return drop("malformed message");
+        if (gone_) return;
+        const std::size_t most = 2 * front_.limits_.body;
+        pauseReading(evbuffer_get_length(input) >= most);
+    }
+
+    // While so much waits for its turn, no more is read from the socket, and a close behind it does not show.
+    // (A high watermark of libevent's instead calls back again and again, without a rest.)
+    void pauseReading(bool on) {
+        if (std::exchange(paused_, on) == on) return;
+        on ? bufferevent_disable(socket_.get(), EV_READ) : bufferevent_enable(socket_.get(), EV_READ);
+        on ? left_.start(front_.limits_.earlyLookMs) : left_.stop();
+    }
+
+    void lookWhetherLeft() {
+        pollfd look{bufferevent_getfd(socket_.get()), POLLRDHUP, 0};
+        if (poll(&look, 1, 0) > 0 && (look.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0) return lost();
+        left_.start(front_.limits_.earlyLookMs);
     }
 
     // A client that sends faster than it is served, or does not read, waits: its bytes stay in its socket.
@@ -190,20 +216,32 @@
     }
     void endIfDone() {
         if (gone_ || !jobs_.empty()) return;
-        if (state_ == State::commands && front_.closing_) state_ = State::ending;
+        if (state_ == State::commands && front_.closing_ && !commandsWait()) state_ = State::ending;
         if (state_ != State::ending) return;
         if (evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0) front_.remove(*this);
     }
+    // At a shutdown each command that has come is told that it never ran. A client that goes on and on is
+    // ended.
+    bool commandsWait() const {
+        if (refusedAtEnd_ >= front_.limits_.nbdRefusedAtEnd) return false;
+        int waiting = 0;
+        if (ioctl(bufferevent_getfd(socket_.get()), FIONREAD, &waiting) == 0 && waiting > 0) return true;
+        return !mayTakeMore() && evbuffer_get_length(bufferevent_get_input(socket_.get())) > 0;
+    }
 
     Front& front_;
     Owned<bufferevent> socket_;
     Timer handshake_;
+    Timer left_;
     State state_ = State::flags;
     bool zeroes_ = true;
     bool structured_ = false;
     bool gone_ = false;
     bool reading_ = false;
+    bool paused_ = false;  // no more is read from the socket
     std::size_t options_ = 0;
+    std::size_t refusedAtEnd_ = 0;  // commands
+    bool replied_ = false;          // its last reply may still be on its way
     const NbdExport* export_ = nullptr;
     std::set<NbdJob*> jobs_;
 };
@@ -282,6 +320,7 @@
 
 void Session::answer(std::uint64_t cookie, Error error, const std::string& text, std::uint64_t offset,
                      std::string_view data) {
+    replied_ = true;
     if (!structured_) return write(encode(SimpleReply{error, cookie}).append(data));
     const auto chunk = [&](Chunk type, std::string payload) {
         write(encode(ChunkMessage{kDone, type, cookie, std::move(payload)}));
@@ -309,7 +348,10 @@
         end();  // its data cannot be told from what follows
         return got;
     }
-    if (front_.closing_) return refuse(Error::shutdown, "shutting down, never ran");
+    if (front_.closing_) {
+        ++refusedAtEnd_;
+        return refuse(Error::shutdown, "shutting down, never ran");
+    }
     if (!write && message.command != Command::read) return refuse(Error::invalid, "command not offered");
     if ((message.flags & ~(structured_ ? kFlagDf : 0)) != 0)
         return refuse(Error::invalid, "flag not offered");
@@ -358,6 +400,7 @@
       pool_(pool),
       limits_(limits),
       log_(log),
+      lingering_(base, limits, dispatcher.counters()),
       empty_(base, [this] { waste_.clear(); }) {
     const sockaddr_in address = config_.listen.socketAddress();
     constexpr unsigned kOptions = LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE;
@@ -397,16 +440,18 @@
 }
 
 bool Front::quiet() const {
-    return std::all_of(sessions_.begin(), sessions_.end(),
-                       [](const auto& e) { return e.second->inHandshake(); });
+    return lingering_.delivered() && std::all_of(sessions_.begin(), sessions_.end(),
+                                                 [](const auto& e) { return e.second->inHandshake(); });
 }
 
 void Front::remove(Session& session) {
     const auto at = sessions_.find(&session);
     if (at == sessions_.end()) return;
-    session.gone_ = true;
+    const bool byItsClient = std::exchange(session.gone_, true);
     session.handshake_.stop();
+    session.left_.stop();
     bufferevent_disable(session.socket_.get(), EV_READ | EV_WRITE);
+    if (!byItsClient && session.replied_) lingering_.take(referenceTo(session.socket_.get()));
     waste_.push_back(std::move(at->second));
     sessions_.erase(at);
     empty_.start(0);
--- a/src/nbd/front.h
+++ b/src/nbd/front.h
@@ -7,6 +7,7 @@
 #include "config/nbd_config.h"
 #include "core/dispatcher.h"
 #include "nbd/node_link.h"
+#include "net/lingering_closes.h"
 #include "net/log.h"
 #include "net/loop.h"
 
@@ -51,6 +52,7 @@
     Pool& pool_;
     const Limits& limits_;
     Log& log_;
+    LingeringCloses lingering_;
     bool closing_ = false;
     std::uint64_t taken_ = 0;  // names the requests
     std::map<Session*, std::unique_ptr<Session>> sessions_;
