--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -247,9 +247,10 @@
             closed && dispatcher_.open() == 0 && front_.quiet() && (!nbdFront_ || nbdFront_->quiet());
         if (!quiet && now < shutdown_->exitByMs)
             return end_.start(std::min(config_.limits.shutdownLookMs, shutdown_->exitByMs - now));
-        // After a hold-up beyond what the schedule allows for, what has come meanwhile is still to be read, and
-        // answers are still to be written.
+        // After a hold-up beyond what the schedule allows for, what has come meanwhile is still to be read,
+        // and answers are still to be written.
         if (!quiet && !std::exchange(lastTurn_, true)) return end_.start(ShutdownSchedule::kTurnMs);
+        front_.writeOut();
         log_.info("end", "exits", {{"open", dispatcher_.open()}, {"connections", front_.connections()}});
         event_base_loopbreak(base_.get());
     }
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -322,6 +322,17 @@
     std::erase_if(unheard_, [](const auto& e) { return e.second.buffers == nullptr; });
 }
 
+void HttpFront::writeOut() {
+    for (const auto& [connection, client] : connections_) {
+        bufferevent* buffers = evhttp_connection_get_bufferevent(connection);
+        evbuffer* output = bufferevent_get_output(buffers);
+        evbuffer_unfreeze(output, 1);  // libevent keeps the front to its own writes
+        while (evbuffer_get_length(output) > 0 && evbuffer_write(output, bufferevent_getfd(buffers)) > 0) {
+        }
+        evbuffer_freeze(output, 1);
+    }
+}
+
 bool HttpFront::quiet() const {
     return connections_.empty() && lingering_.delivered() &&
            std::all_of(unheard_.begin(), unheard_.end(), [](const auto& u) { return letGo(u.first); });
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -52,6 +52,8 @@
     void endConnections(bool refusePartial);
     /// Whether no connection is left that may still bring a request, and all answers have arrived.
     [[nodiscard]] bool quiet() const;
+    /// Hands as much of the answers to the kernel as it takes, since the loop does not turn any more.
+    void writeOut();
     /// Connections of clients that are still there.
     [[nodiscard]] std::size_t connections() const { return connections_.size() + unheard_.size(); }
 
--- /dev/null
+++ b/tests/net/lingering_closes_test.cpp
@@ -0,0 +1,138 @@
+// Whether a lingering close ends within its bounds, and loses nothing of what was sent.
+#include "net/lingering_closes.h"
+
+#include <doctest/doctest.h>
+#include <fcntl.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <string>
+
+#include "net/address.h"
+
+using namespace martencove;
+
+namespace {
+
+/// Two ends of a TCP connection on loopback: ours, as buffers that own their descriptor, and the client's.
+struct Connection {
+    explicit Connection(event_base* base) {
+        const int listener = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in at = Address{"127.0.0.1", 0}.socketAddress();
+        socklen_t size = sizeof at;
+        REQUIRE(bind(listener, reinterpret_cast<const sockaddr*>(&at), size) == 0);
+        REQUIRE(listen(listener, 1) == 0);
+        REQUIRE(getsockname(listener, reinterpret_cast<sockaddr*>(&at), &size) == 0);
+        client = socket(AF_INET, SOCK_STREAM, 0);
+        REQUIRE(connect(client, reinterpret_cast<const sockaddr*>(&at), size) == 0);
+        const int accepted = accept4(listener, nullptr, nullptr, SOCK_NONBLOCK);
+        REQUIRE(accepted >= 0);
+        close(listener);
+        ours = HeldBuffers(bufferevent_socket_new(base, accepted, BEV_OPT_CLOSE_ON_FREE));
+        REQUIRE(ours);
+    }
+    ~Connection() { close(client); }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
+    /// Whether our side is closed: what the client sends is answered by a reset.
+    bool reset(const std::function<void()>& turn) const {
+        for (int tries = 0; tries < 100; ++tries) {
+            if (::send(client, "x", 1, MSG_NOSIGNAL) < 0) return true;
+            turn();
+        }
+        return false;
+    }
+
+    HeldBuffers ours;
+    int client = -1;
+};
+
+struct Lingering {
+    explicit Lingering(const Limits& l) : limits(l) {}
+    void turn() {
+        const timeval soon = timevalOf(5);
+        event_base_loopexit(base.get(), &soon);
+        event_base_dispatch(base.get());
+    }
+    /// Runs the loop until no connection lingers; the bound only keeps a broken program from hanging the
+    /// test.
+    bool ends() {
+        for (int turns = 0; turns < 2000 && closes.size() > 0; ++turns) turn();
+        return closes.size() == 0;
+    }
+    Limits limits;
+    Counters counters;
+    Owned<event_base> base = makeBase();
+    LingeringCloses closes{base.get(), limits, counters};
+};
+
+Limits longLinger() {
+    Limits limits;
+    limits.lingerMs = 60'000;
+    return limits;
+}
+
+}  // namespace
+
+TEST_CASE(
+    "lingering close: what was sent arrives whole, though the client goes on sending, until it closes") {
+    Lingering t(longLinger());
+    Connection connection(t.base.get());
+    const std::string answer = "the answer";
+    REQUIRE(::send(bufferevent_getfd(connection.ours.get()), answer.data(), answer.size(), 0) > 0);
+    REQUIRE(::send(connection.client, "early", 5, 0) == 5);
+    t.closes.take(std::move(connection.ours));
+    t.turn();
+    REQUIRE(::send(connection.client, "late", 4, 0) == 4);
+    t.turn();
+    CHECK(t.closes.size() == 1);
+    CHECK(t.counters.of("client_bytes_dropped") == 1);
+    CHECK(t.closes.delivered());
+    std::array<char, 64> got{};
+    CHECK(recv(connection.client, got.data(), got.size(), 0) == static_cast<ssize_t>(answer.size()));
+    CHECK(recv(connection.client, got.data(), got.size(), 0) == 0);  // our sending has ended
+    shutdown(connection.client, SHUT_WR);
+    CHECK(t.ends());
+}
+
+TEST_CASE("lingering close: a client that says nothing is closed when its time is over") {
+    Limits limits;
+    limits.lingerMs = 50;
+    Lingering t(limits);
+    Connection connection(t.base.get());
+    t.closes.take(std::move(connection.ours));
+    CHECK(t.closes.size() == 1);
+    CHECK(t.ends());
+    CHECK(connection.reset([&] { t.turn(); }));
+}
+
+TEST_CASE("lingering close: one that goes on sending is closed when its time or its bytes are over") {
+    Limits limits = longLinger();
+    SUBCASE("time") { limits.lingerMs = 50; }
+    SUBCASE("bytes") { limits.lingerBytes = 100; }
+    Lingering t(limits);
+    Connection connection(t.base.get());
+    t.closes.take(std::move(connection.ours));
+    for (int turns = 0; turns < 2000 && t.closes.size() > 0; ++turns) {
+        (void)::send(connection.client, "abc", 3, MSG_NOSIGNAL);
+        t.turn();
+    }
+    CHECK(t.closes.size() == 0);
+}
+
+TEST_CASE("lingering close: at the bound the one that has lingered longest is closed") {
+    Limits limits = longLinger();
+    limits.lingering = 2;
+    Lingering t(limits);
+    Connection first(t.base.get()), second(t.base.get()), third(t.base.get());
+    t.closes.take(std::move(first.ours));
+    t.closes.take(std::move(second.ours));
+    t.closes.take(std::move(third.ours));
+    CHECK(t.closes.size() == 2);
+    CHECK(first.reset([&] { t.turn(); }));
+    CHECK(::send(second.client, "x", 1, MSG_NOSIGNAL) == 1);
+    t.turn();
+    CHECK(t.closes.size() == 2);
+}
--- a/tests/program/shutdown_test.cpp
+++ b/tests/program/shutdown_test.cpp
@@ -85,6 +85,12 @@
         t.terminate();
         client = &t.heldClient("0000000000000001", kLongDeadlineMs);
     }
+    SUBCASE("taken before it, and discovery is silent") {
+        t.world.answerLists(false);
+        t.world.fallSilent();
+        client = &t.heldClient("0000000000000001", kLongDeadlineMs);
+        t.terminate();
+    }
     const auto answer = t.answer(*client, kLongBeforeDeadlineMs);
     REQUIRE(answer);
     CHECK(answer->code() == 503);  // a read, harmless to repeat
@@ -398,3 +404,37 @@
     CHECK(t.world.until([&] { return client.closed; }));
     CHECK(t.world.end() == 0);
 }
+
+// Guards against an exit that a client holds up which never stops sending, one request behind the other.
+TEST_CASE("shutdown: a flood of requests on one connection is ended, and holds up no other client's answer") {
+    Site t(serve, longDeadlines);
+    const std::string one = t.world.request("0000000000000001", "", kLongDeadlineMs);
+    std::string many;
+    while (many.size() < 60'000) many += one;
+    Wire& flood = t.world.connect();
+    bool reads = true;
+    SUBCASE("that is read") {}
+    SUBCASE("whose answers are not read") { reads = false; }
+    flood.read(reads);
+    flood.send(many);
+    REQUIRE(t.world.until([&] { return t.world.counter("request_taken") > 0; }));
+    t.terminate();
+    Wire& other = t.world.connect();
+    other.send(t.world.request("0000000000000002", "", kLongDeadlineMs));
+    std::optional<HttpText> answer;
+    REQUIRE(t.world.until(
+        [&] {
+            if (!flood.closed) flood.send(one);
+            return (answer = takeHttp(other.got)).has_value() || other.closed;
+        },
+        kLongBeforeDeadlineMs));
+    REQUIRE(answer);
+    CHECK(answer->code() == 200);
+    REQUIRE(t.world.until(
+        [&] {
+            if (!flood.closed) flood.send(one);
+            return t.world.log.find("end: exits") != std::string::npos;
+        },
+        kLongBeforeDeadlineMs));
+    CHECK(t.world.end() == 0);
+}
--- a/tests/program/upgrade_test.cpp
+++ b/tests/program/upgrade_test.cpp
@@ -97,6 +97,34 @@
     CHECK(t.next.end() == 0);
 }
 
+// Guards against a process that has stepped aside and drops at its end what it has read.
+TEST_CASE("upgrade: the old one answers at its end what hangs, what came behind it and what came in part") {
+    Upgrade t;
+    t.answering = false;
+    Wire& hangs = t.old.connect();
+    hangs.send(t.old.request("0000000000000001", "", 20'000));
+    REQUIRE(t.old.until([&] { return t.held != nullptr; }));
+    hangs.send(t.old.request("0000000000000002", "", 20'000));
+    Wire& half = t.old.connect();
+    half.send(t.old.request("0000000000000003").substr(0, 20));
+    REQUIRE(t.old.until([&] { return half.connected; }));
+    t.old.rest();
+    t.next.start();
+    REQUIRE(t.takesOver());
+    t.old.signal(SIGTERM);
+    std::optional<HttpText> answer;
+    for (Wire* client : {&half, &hangs, &hangs}) {
+        REQUIRE(t.old.until([&] { return (answer = takeHttp(client->got)).has_value() || client->closed; }));
+        REQUIRE(answer);
+        CHECK(answer->code() == 503);
+    }
+    CHECK(t.old.end() == 0);
+    CHECK(t.next.running());
+    t.answering = true;
+    CHECK(t.next.ask(t.next.request("0000000000000004")).code() == 200);
+    CHECK(t.next.end() == 0);
+}
+
 TEST_CASE("upgrade: a next process that dies gives the clients back, and another one can follow") {
     Upgrade t;
     t.next.start();
