Divide the decision module into files by concern; behaviour unchanged

decide.cpp held one class of 900 lines in 1,054. Its member functions now stand in admission, node_selection, token_allocation, shared_budgets, attempts, outcomes, failure_detection, rounds, shutdown and scheduler.cpp, none over 130 lines, the class's declaration in scheduler_impl.h and the constants in tuning.h; all are listed under policy.

--- a/bench/compare.sh
+++ b/bench/compare.sh
@@ -10,7 +10,7 @@
 git archive "$commit" include src | tar -x -C "$folder"
 build() {  # ROOT NAME
     local sources
-    sources=$(find "$1/src" \( -name decide.cpp -o -name bids.cpp -o -name settings.cpp \))
+    sources=$(find "$1/src" \( -path "*/limedrum/*.cpp" \))
     # shellcheck disable=SC2086
     g++ -std=c++20 -O3 -DNDEBUG -I"$1/include" bench/module.cpp $sources -o "$folder/$2" -lbenchmark -lpthread
 }
--- a/include/limedrum/scheduler.h
+++ b/include/limedrum/scheduler.h
@@ -1,4 +1,4 @@
-// limedrum: the interface of the decision module (src/limedrum/decide.cpp).
+// limedrum: the interface of the decision module (src/limedrum).
 //
 // One Scheduler decides for one host that shares storage nodes with other hosts. It does no I/O,
 // reads no clock and draws randomness only from the seed given at construction.
--- a/src/limedrum/fleet.h
+++ b/src/limedrum/fleet.h
@@ -1,4 +1,4 @@
-// The tables of nodes and cells, and who holds what. No decisions: src/limedrum/decide.cpp makes them.
+// The tables of nodes and cells, and who holds what. No decisions: src/limedrum/scheduler_impl.h has them.
 #pragma once
 
 #include <map>
--- a/src/limedrum/memory.h
+++ b/src/limedrum/memory.h
@@ -1,5 +1,6 @@
 // What a host has learned, as text: a process hands it to the next one on its machine, which goes on with it
-// in its place. Which server gets what is decided in src/limedrum/decide.cpp; here stands what passes on.
+// in its place. Which server gets what is decided in src/limedrum/scheduler_impl.h; here stands what passes
+// on.
 //
 // Nodes: usual times, rates, pressure and silence, for the same start of the node only. Cells: last round's
 // bid, the bids' sum, what each volume asked. Volumes: what was served through which host. Budgets: what was
--- /dev/null
+++ b/src/limedrum/shutdown.cpp
@@ -0,0 +1,24 @@
+// The end of the host: open requests are cut to what is left of its time.
+#include "scheduler_impl.h"
+
+namespace limedrum {
+
+void Scheduler::Impl::on(const ShutdownEvent& event) {
+    shutdown_.firstAttemptUntilMs = std::min(shutdown_.firstAttemptUntilMs, event.firstAttemptUntilMs);
+    shutdown_.furtherAttemptUntilMs = std::min(shutdown_.furtherAttemptUntilMs, event.furtherAttemptUntilMs);
+    shutdown_.answerByMs = std::min(shutdown_.answerByMs, event.answerByMs);
+    for (auto& [id, r] : requests_) endWithin(r);
+}
+
+void Scheduler::Impl::endWithin(Request& r) {
+    r.told.expiresMs = std::min(r.told.expiresMs, shutdown_.answerByMs);
+    if (r.dueMs > r.told.expiresMs) {
+        const bool queued = r.queued;
+        if (queued) fleet_.dequeue(r);  // the queue is in the order of due times
+        r.dueMs = r.told.expiresMs;
+        if (queued) fleet_.enqueue(r);
+    }
+    if (!r.streaming) lookAt(r, std::min({r.lookMs, r.told.expiresMs, attemptUntilMs(r)}));
+}
+
+}  // namespace limedrum
--- a/src/limedrum/state.h
+++ b/src/limedrum/state.h
@@ -1,5 +1,5 @@
-// What a host keeps of requests, attempts, nodes, volumes and peers. Plain data: src/limedrum/decide.cpp
-// decides.
+// What a host keeps of requests, attempts, nodes, volumes and peers. Plain data: what decides stands behind
+// src/limedrum/scheduler_impl.h.
 #pragma once
 
 #include <limedrum/scheduler.h>
