--- a/review/lib/run.sh
+++ b/review/lib/run.sh
@@ -1,8 +1,9 @@
 # Runs one case; sourced by review/N/run.sh. Exits with 1 if the rule was broken, 0 if it held, 2 if the case
 # could not run.
 set -u
-cd "$(dirname "$0")/../.." || exit 2
-number=$(basename "$(dirname "$(readlink -f "$0")")")
+case_folder=$(dirname "$(readlink -f "$0")")
+number=$(basename "$case_folder")
+cd "$case_folder/../.." || exit 2
 driver=build/review/case$number
 if [ ! -x "$driver" ]; then
     echo "missing: $driver (review/build.sh)" >&2
