--- a/review/1/case.cpp
+++ b/review/1/case.cpp
@@ -10,7 +10,7 @@
 constexpr int kClients = 40;
 constexpr double kRunMs = 20000;
 constexpr int kTwiceOneIn = 10;                       // the share of answers that come twice
-constexpr double kLateFromMs = 4, kLateUntilMs = 9;   // how late the second one comes
+constexpr double kLateFromMs = 4, kLateUntilMs = 6;   // how late the second one comes
 
 }  // namespace
 
