Count bytes on idle node connections apart from those directly behind an answer

To tell a late second answer from a mix-up between requests inside the program, the counters have to say whether bytes that belong to no answer came on an idle connection or directly behind an answer. node_bytes_left_over had both, and left out bytes that were still unread when a connection was about to be used again. node_bytes_idle now has those of idle connections, the unread ones included.

--- a/src/net/node_connection.cpp
+++ b/src/net/node_connection.cpp
@@ -30,6 +30,7 @@
     if (closed_) return false;
     char byte = 0;
     const ssize_t received = recv(bufferevent_getfd(socket_.get()), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (received > 0) countLeftOverBytes();
     closed_ = received >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
     return !closed_;
 }
@@ -150,7 +151,7 @@
     if (onDone_ && !replySet_) onData(rest);
     // Bytes after a response make the connection unusable: they could not be told from the next response.
     if ((!onDone_ || replySet_) && !rest.empty()) {
-        counters_.add("node_bytes_left_over");
+        countLeftOverBytes();
         closed_ = true;
     }
     evbuffer_drain(input, size - rest.size());
@@ -158,6 +159,11 @@
     if (replySet_) reportDone();
 }
 
+void NodeConnection::countLeftOverBytes() {
+    counters_.add("node_bytes_left_over");
+    if (!onDone_) counters_.add("node_bytes_idle");
+}
+
 // A request whose last byte was not written has not been executed, so its status is notConnected.
 void NodeConnection::fail(AttemptStatus statusIfSent) {
     closed_ = true;
--- a/src/net/node_connection.h
+++ b/src/net/node_connection.h
@@ -86,6 +86,8 @@
     static void onEvent(bufferevent*, short events, void* self);
     static void onOutputChanged(evbuffer* buffer, const evbuffer_cb_info* info, void* self);
     void read();
+    // Counts a connection that bytes have made unusable: behind an answer, or while no request is under way.
+    void countLeftOverBytes();
     void startConnect(double timeoutMs);
     void onFinalByteWritten();
     void fail(AttemptStatus statusIfSent);
