--- a/tests/program/early_end_test.cpp
+++ b/tests/program/early_end_test.cpp
@@ -136,7 +136,7 @@
     client.send(program.makeRequest("0000000000000001"));
     REQUIRE(program.waitUntil([&] { return node.requests.size() == 1; }));
     client.send(pipelined);
-    program.waitForNodeReuse();
+    program.waitBriefly();
     reset ? client.sendAndReset("") : client.close();
     REQUIRE(program.waitUntil([&] { return node.listener.connections.front().closedByPeer; }));
     CHECK(program.readCounter("client_gone") == 1);
@@ -176,7 +176,7 @@
     TestConnection& client = program.connect();
     const std::string text = program.makeRequest("0000000000000001", "", 5000);
     client.send(text.substr(0, 20));
-    program.waitForNodeReuse();
+    program.waitBriefly();
     program.sendSignal(SIGTERM);
     REQUIRE(program.waitUntil([&] { return program.log.find("end: finishing") != std::string::npos; }));
     // The request's deadline, unless shortened, is later than the program's exit after 5.55 s.
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -289,10 +289,10 @@
     const std::string text = test.program.makeRequest("0000000000000002", "", 3000, "the body");
     const std::size_t headerBytes = text.find("the body");  // evhttp removes the headers from the buffer
     client.send(text.substr(0, headerBytes));
-    test.program.waitForNodeReuse();
+    test.program.waitBriefly();
     test.program.sendSignal(SIGTERM);
     REQUIRE(waitForListenerClose(test.program));
-    test.program.waitForNodeReuse();
+    test.program.waitBriefly();
     CHECK_FALSE(client.closedByPeer);
     client.send(text.substr(headerBytes));
     REQUIRE(test.program.waitUntil(
--- a/tests/program/nbd_shutdown_test.cpp
+++ b/tests/program/nbd_shutdown_test.cpp
@@ -59,7 +59,7 @@
     for (int i = 1; i <= kMoreCommands; ++i)
         connection.send(encode(
             writeCommand(static_cast<std::uint64_t>(kMaxCommandsInFlight + i), 0, std::string(65'536, 'x'))));
-    harness.program.waitForNodeReuse();
+    harness.program.waitBriefly();
     harness.sendSigterm();
     std::map<std::uint64_t, Error> replies;
     REQUIRE(harness.program.waitUntil(
@@ -103,7 +103,7 @@
         for (int i = 0; i < 8; ++i) connection.send(moreCommands);
         resetConnection = true;
     }
-    harness.program.waitForNodeReuse();
+    harness.program.waitBriefly();
     resetConnection ? connection.sendAndReset("") : connection.close();
     CHECK(harness.waitUntil([&] {
         for (TestConnection& server : harness.node.listener.connections)
--- a/tests/program/program_harness.h
+++ b/tests/program/program_harness.h
@@ -154,6 +154,10 @@
     /// Runs the event loop until `condition` returns true. Returns false after `timeoutMs`, which only keeps
     /// a faulty program from blocking the test.
     [[nodiscard]] bool waitUntil(const std::function<bool()>& condition, double timeoutMs = 20000);
+    /// Waits for 30 ms, for bytes in transit to arrive.
+    void waitBriefly() {
+        (void)waitUntil([] { return false; }, 30);
+    }
     /// Waits for 30 ms, longer than the program pauses a node connection after an answer.
     void waitForNodeReuse() {
         (void)waitUntil([] { return false; }, 30);
--- a/tests/program/shutdown_test.cpp
+++ b/tests/program/shutdown_test.cpp
@@ -44,7 +44,7 @@
         TestConnection& client = program.connect();
         client.send(text.substr(0, sent));
         REQUIRE(program.waitUntil([&] { return client.connected; }));
-        program.waitForNodeReuse();
+        program.waitBriefly();
         return client;
     }
     void terminate() {
@@ -175,7 +175,7 @@
     TestConnection& client = test.connectWaitingClient("0000000000000001", kLongDeadlineMs);
     client.send(test.program.makeRequest("0000000000000002", "", kLongDeadlineMs) +
                 test.program.makeRequest("0000000000000003", "", kLongDeadlineMs));
-    test.program.waitForNodeReuse();
+    test.program.waitBriefly();
     test.terminate();
     for (int i = 0; i < 3; ++i) {
         const auto answer = test.waitForAnswer(client, kLongBeforeDeadlineMs);
@@ -243,11 +243,11 @@
     test.terminate();
     heldConnection->send(makeHttpReply(200, body));
     REQUIRE(test.program.waitUntil([&] { return test.program.readCounter("answer_served") == 1; }));
-    test.program.waitForNodeReuse();
+    test.program.waitBriefly();
     // Sent in pieces, so that some arrive before the close and some after it.
     for (int i = 0; i < 10; ++i) {
         (void)!::send(fd, text.data(), 20, MSG_NOSIGNAL);
-        test.program.waitForNodeReuse();
+        test.program.waitBriefly();
     }
     std::string received;
     char chunk[4096];
--- a/tests/program/upgrade_test.cpp
+++ b/tests/program/upgrade_test.cpp
@@ -116,7 +116,7 @@
     TestConnection& partialClient = test.oldProcess.connect();
     partialClient.send(test.oldProcess.makeRequest("0000000000000003").substr(0, 20));
     REQUIRE(test.oldProcess.waitUntil([&] { return partialClient.connected; }));
-    test.oldProcess.waitForNodeReuse();
+    test.oldProcess.waitBriefly();
     test.successor.start();
     REQUIRE(test.waitForTakeover());
     test.oldProcess.sendSignal(SIGTERM);
