Reuse node connections only once a repeated answer can't come: a foreign answer was served

Cause: an HTTP answer does not name its request, it is the next one on its connection. The pool used a connection again 3 ms after an answer (Limits::nodeReuseDelayMs; NodeConnectionPool::takeIdle), so that a second answer that came later, with the next request at the node already, was taken for that request's. The displaced answer was then served to the request after it. Ruled out: a mix-up inside the program (none of 4,230 requests without repeats; 408 of 423 repeats counted on idle connections, node_bytes_idle).

Change: Limits::httpNodeReuseDelayMs is 150 ms. The pause counts from reading the answer, so a held-up program only makes it longer; bytes that have come by its end close the connection. NBD replies name their command, so its pause stays 3 ms. A waiting request is given a connection as soon as the first pause at its node ends; before, none looked again for a request that came during the pause.

Tests: "an answer that comes again some milliseconds late ..." and "a request that waits for its connection uses another one ..." failed on the program before (foreign answers with pauses of 5, 20, 60 and 90 ms; a reuse after 4.4 ms; a waiting request never sent), and pass now; all 127 cases of the program's tests pass without sanitizers.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -61,8 +61,10 @@
     double secondConnectDelayMs = 100;    // then a second connection attempt starts beside the pending one
     double streamStallTimeoutMs = 10000;  // without data of a streamed answer
     double nodeIdleTimeoutMs = 15000;     // nodes close connections idle for this long
-    // Delay before a node connection is reused. A node may send stray bytes right after an answer.
-    double nodeReuseDelayMs = 3;
+    // From an answer to the reuse of its node connection. A node may send an HTTP answer, which does not name
+    // its request, again "some milliseconds" later: under 100 ms, and the protocol's 50 ms for real sockets.
+    double httpNodeReuseDelayMs = 150;
+    double nbdNodeReuseDelayMs = 3;       // a reply names its command
     double idleRetireFraction = 0.6;      // of nodeIdleTimeoutMs: then an idle node connection is closed
     double clientIdleTimeoutMs = 2500;    // client connection without an open request
     double firstRequestTimeoutMs = 2000;  // client connection without a first request
--- a/src/http/node_connection.h
+++ b/src/http/node_connection.h
@@ -52,6 +52,8 @@
 
     ~HttpNodeConnection() override { accountBufferedBytes(0); }
 
+    /// How long after an answer a connection may not be reused, in ms.
+    [[nodiscard]] static double reuseDelayMs(const Limits& limits) { return limits.httpNodeReuseDelayMs; }
     /// Returns whether the connection can carry a request to `node`.
     [[nodiscard]] bool matches(const Address& node, const NodeRequest&) const { return address() == node; }
     /// Sends the request, at once if connected, otherwise as soon as the connection is established.
--- a/src/nbd/node_connection.h
+++ b/src/nbd/node_connection.h
@@ -28,6 +28,8 @@
                       Counters& counters)
         : NodeConnection(base, node, limits, counters), exportName_(command.exportName) {}
 
+    /// How long after a reply a connection may not be reused, in ms.
+    [[nodiscard]] static double reuseDelayMs(const Limits& limits) { return limits.nbdNodeReuseDelayMs; }
     [[nodiscard]] bool matches(const Address& to, const Work& command) const {
         return address() == to && exportName_ == command.exportName;
     }
--- a/src/net/node_connection_pool.h
+++ b/src/net/node_connection_pool.h
@@ -1,13 +1,18 @@
 // Pool of reusable connections to storage nodes, for any wire protocol. A `Wire` is a NodeConnection with a
-// type Work, the constants kOpenedCounter and kCanPreconnect, and the functions matches() and start(). With
-// kCanPreconnect it also has pendingRequest() and transferRequest().
+// type Work, the constants kOpenedCounter and kCanPreconnect, and the functions reuseDelayMs(), matches() and
+// start(). With kCanPreconnect it also has pendingRequest() and transferRequest().
 //
 // A request that finds no idle connection opens one, but uses whichever is available first: its own, one that
 // another request has released, or a second one that is opened after a delay, since some connections are
 // established late. The connection that it does not use becomes idle once it is established.
+//
+// After an answer a connection is not reused for Wire::reuseDelayMs(). A node may repeat its answer within
+// that time, and over a protocol whose answers do not name their request, the repeated answer would be taken
+// for the answer to the next request. Bytes that arrive on an idle connection make it unusable.
 #pragma once
 
 #include <algorithm>
+#include <limits>
 #include <list>
 #include <map>
 #include <memory>
@@ -69,11 +74,11 @@
           limits_(limits),
           counters_(counters),
           sweepTimer_(base, [this] { sweep(); }),
-          reuseDelayTimer_(base,
-                           [this] {
-                               reuseDelayTimerRunning_ = false;
-                               if constexpr (Wire::kCanPreconnect) servePending();
-                           }),
+          reuseTimer_(base,
+                      [this] {
+                          reuseTimerAtMs_ = kNever;
+                          if constexpr (Wire::kCanPreconnect) servePending();
+                      }),
           secondConnectTimer_(base,
                               [this] {
                                   if constexpr (Wire::kCanPreconnect) startSecondConnects();
@@ -111,9 +116,11 @@
 
 private:
     friend class InFlightRequest<Wire>;
+    static constexpr double kNever = std::numeric_limits<double>::infinity();
     struct IdleConnection {
         std::unique_ptr<Wire> connection;
         double idleSinceMs = 0;
+        double reusableAtMs = 0;
     };
     using IdleIterator = typename std::list<IdleConnection>::iterator;
     struct PendingRequest {
@@ -134,6 +141,7 @@
     void addPending(InFlightRequest<Wire>& request) {
         if (pendingRequests_.empty()) secondConnectTimer_.start(limits_.secondConnectDelayMs);
         pendingRequests_.push_back({&request, clock_.nowMs() + limits_.secondConnectDelayMs});
+        scheduleServePending();
     }
 
     void cancelRequest(InFlightRequest<Wire>& request) {
@@ -151,10 +159,26 @@
         });
     }
 
-    // Serves pending requests once a released connection may be reused. A timer that is already running is
-    // kept, since servePending() starts it again if necessary.
+    // Serves pending requests once the first connection to one of their nodes is reusable.
     void scheduleServePending() {
-        if (!std::exchange(reuseDelayTimerRunning_, true)) reuseDelayTimer_.start(limits_.nodeReuseDelayMs);
+        removeConnectedPending();
+        const double now = clock_.nowMs();
+        double earliestMs = kNever;
+        for (const PendingRequest& pending : pendingRequests_)
+            earliestMs = std::min(earliestMs, nextReusableAtMs(pending.request->connection_->address(), now));
+        if (earliestMs >= reuseTimerAtMs_) return;
+        reuseTimerAtMs_ = earliestMs;
+        reuseTimer_.start(earliestMs - now);
+    }
+
+    // When the first of the node's connections that may not be reused yet becomes reusable.
+    double nextReusableAtMs(const Address& node, double now) const {
+        double earliestMs = kNever;
+        const auto idleOfNode = idleByAddress_.find(node);
+        if (idleOfNode == idleByAddress_.end()) return earliestMs;
+        for (const IdleIterator idle : idleOfNode->second)
+            if (idle->reusableAtMs > now) earliestMs = std::min(earliestMs, idle->reusableAtMs);
+        return earliestMs;
     }
 
     // Gives idle connections to requests whose own connection is not established, the oldest request first.
@@ -174,9 +198,7 @@
             replaced->transferRequest(*request.connection_);
             preconnect(std::move(replaced));
         }
-        if (!pendingRequests_.empty() && !idleConnections_.empty() &&
-            idleConnections_.back().idleSinceMs > clock_.nowMs() - limits_.nodeReuseDelayMs)
-            scheduleServePending();
+        scheduleServePending();
     }
 
     // Opens a second connection for requests whose first one is slow: it may be established late, or never.
@@ -209,21 +231,20 @@
             std::unique_ptr<Wire> done = std::move(*found);
             preconnecting_.erase(found);
             if (!connected) return discard(std::move(done));
-            // Usable at once: no request was sent on it that could be answered late.
-            addIdle(std::move(done), clock_.nowMs() - limits_.nodeReuseDelayMs);
+            // Reusable at once: no request was sent on it that could be answered twice.
+            addIdle(std::move(done), 0);
             servePending();
         });
     }
 
-    // Takes the most recently used connection, so that the others stay idle and are retired. A connection is
-    // not reused right after a response, since stray bytes from the node may follow it.
+    // Takes the most recently used connection that is reusable, so that the others stay idle and are retired.
     std::unique_ptr<Wire> takeIdle(const Address& node, const typename Wire::Work& work) {
         const auto idleOfNode = idleByAddress_.find(node);
         if (idleOfNode == idleByAddress_.end()) return nullptr;
-        const double reusableBeforeMs = clock_.nowMs() - limits_.nodeReuseDelayMs;
+        const double now = clock_.nowMs();
         for (auto entry = idleOfNode->second.rbegin(); entry != idleOfNode->second.rend(); ++entry) {
             const IdleIterator idle = *entry;
-            if (idle->idleSinceMs > reusableBeforeMs || !idle->connection->matches(node, work) ||
+            if (idle->reusableAtMs > now || !idle->connection->matches(node, work) ||
                 !idle->connection->isUsable())
                 continue;
             return removeIdle(idle);
@@ -233,13 +254,14 @@
 
     void releaseConnection(std::unique_ptr<Wire> connection, bool keepAlive) {
         if (!keepAlive) return discard(std::move(connection));
-        this->addIdle(std::move(connection), clock_.nowMs());
-        if (!pendingRequests_.empty()) scheduleServePending();
+        this->addIdle(std::move(connection), Wire::reuseDelayMs(limits_));
+        scheduleServePending();
     }
 
-    void addIdle(std::unique_ptr<Wire> connection, double sinceMs) {
+    void addIdle(std::unique_ptr<Wire> connection, double reuseDelayMs) {
         const Address node = connection->address();
-        idleConnections_.push_back({std::move(connection), sinceMs});
+        const double now = clock_.nowMs();
+        idleConnections_.push_back({std::move(connection), now, now + reuseDelayMs});
         idleByAddress_[node].push_back(std::prev(idleConnections_.end()));
     }
 
@@ -292,8 +314,8 @@
     std::vector<std::unique_ptr<Wire>> discarded_;    // freed from the loop, not from their callbacks
     std::size_t connectionCount_ = 0;
     Timer sweepTimer_;
-    Timer reuseDelayTimer_;
-    bool reuseDelayTimerRunning_ = false;
+    Timer reuseTimer_;
+    double reuseTimerAtMs_ = kNever;
     Timer secondConnectTimer_;
     Timer discardTimer_;
 };
--- a/tests/program/program_harness.h
+++ b/tests/program/program_harness.h
@@ -15,6 +15,7 @@
 #include <string>
 #include <vector>
 
+#include "core/limits.h"
 #include "net/address.h"
 #include "net/loop.h"
 
@@ -158,9 +159,9 @@
     void waitBriefly() {
         (void)waitUntil([] { return false; }, 30);
     }
-    /// Waits for 30 ms, longer than the program pauses a node connection after an answer.
+    /// Waits until the program reuses a node connection on which it has just received an answer.
     void waitForNodeReuse() {
-        (void)waitUntil([] { return false; }, 30);
+        (void)waitUntil([] { return false; }, Limits{}.httpNodeReuseDelayMs + 30);
     }
     /// Sends the signal, unless it is SIGTERM and SIGTERM was sent before, and waits for the program to exit.
     /// Returns its exit code, 128 plus the number of the signal that ended it, or -1 if it still runs after
