--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -62,10 +62,10 @@
     double streamStallTimeoutMs = 10000;  // without data of a streamed answer
     double nodeIdleTimeoutMs = 15000;     // nodes close connections idle for this long
     // From an answer to the reuse of its node connection. A node may send an HTTP answer, which does not name
-    // its request, again "some milliseconds" later: under 100 ms, and the protocol's 50 ms for real sockets.
-    double httpNodeReuseDelayMs = 150;
-    double nbdNodeReuseDelayMs = 3;       // a reply names its command
-    double idleRetireFraction = 0.6;      // of nodeIdleTimeoutMs: then an idle node connection is closed
+    // its request, again "some milliseconds" later (days at full size, join): under 100 ms.
+    double httpNodeReuseDelayMs = 100;
+    double nbdNodeReuseDelayMs = 3;   // a reply names its command
+    double idleRetireFraction = 0.6;  // of nodeIdleTimeoutMs: then an idle node connection is closed
     double clientIdleTimeoutMs = 2500;    // client connection without an open request
     double firstRequestTimeoutMs = 2000;  // client connection without a first request
     // At the connection limit these shorter timeouts apply, so that connections become free.
