Close idle node connections sooner where a more recently used one is held

Cause: a node holds only so many connections for all schedulers.

Change: Limits::surplusNodeIdleTimeoutMs, 3 s. The most recently used connection of each node stays as long as before.

Test: "an idle node connection beside a more recently used one is closed long before the node does" failed on the program before (none closed in 20 s) and passes now.

--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -66,6 +66,8 @@
     double httpNodeReuseDelayMs = 100;
     double nbdNodeReuseDelayMs = 3;   // a reply names its command
     double idleRetireFraction = 0.6;  // of nodeIdleTimeoutMs: then an idle node connection is closed
+    // Idle beside another connection to the same node, which holds only so many for all schedulers.
+    double surplusNodeIdleTimeoutMs = 3000;
     double clientIdleTimeoutMs = 2500;    // client connection without an open request
     double firstRequestTimeoutMs = 2000;  // client connection without a first request
     // At the connection limit these shorter timeouts apply, so that connections become free.
--- a/src/net/node_connection_pool.h
+++ b/src/net/node_connection_pool.h
@@ -293,15 +293,22 @@
 
     // Closes idle connections before the nodes do, since a request that is sent just then would fail.
     void sweep() {
-        const double retireBeforeMs = clock_.nowMs() - limits_.nodeIdleTimeoutMs * limits_.idleRetireFraction;
+        const double now = clock_.nowMs();
         for (IdleIterator idle = idleConnections_.begin(); idle != idleConnections_.end();) {
             const IdleIterator current = idle++;
-            if (current->connection->isClosed() || current->idleSinceMs < retireBeforeMs)
+            if (current->connection->isClosed() || now - current->idleSinceMs > maxIdleMs(current))
                 discard(removeIdle(current));
         }
         sweepTimer_.start(limits_.sweepIntervalMs);
     }
 
+    // How long the connection may stay idle. The most recently used one of each node may stay longest.
+    double maxIdleMs(IdleIterator idle) const {
+        const double longestMs = limits_.nodeIdleTimeoutMs * limits_.idleRetireFraction;
+        const bool isSurplus = idleByAddress_.at(idle->connection->address()).back() != idle;
+        return isSurplus ? std::min(limits_.surplusNodeIdleTimeoutMs, longestMs) : longestMs;
+    }
+
     event_base* base_;
     const Clock& clock_;
     const Limits& limits_;
--- a/tests/program/http_test.cpp
+++ b/tests/program/http_test.cpp
@@ -5,6 +5,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <list>
 
 #include "core/clock.h"
 #include "program_harness.h"
@@ -522,3 +523,25 @@
     expectRejected("peers", [](Json& config) { config["peers"] = {"x"}; });
     expectRejected("NODE_CONFIG", [](Json& config) { config = "text"; });
 }
+
+// Guards against filling nodes with idle connections that a burst has left: a node holds only so many for all
+// schedulers, and turns away the requests on further ones.
+TEST_CASE("an idle node connection beside a more recently used one is closed long before the node does") {
+    OneNodeFixture test(replyWithRequestId, [](ProgramHarness& program) {
+        program.config["settings"]["Limits"]["ConnIdleMs"] = 600'000;
+    });
+    const std::list<TestConnection>& connections = test.node.listener.connections;
+    // A connection pauses after an answer, so that requests one right after the other need a second one.
+    for (int i = 1; i < 100 && connections.size() < 2; ++i)
+        CHECK(
+            test.program.sendRequest(test.program.makeRequest("00000000000000" + std::to_string(10 + i % 90)))
+                .statusCode() == 200);
+    REQUIRE(connections.size() == 2);
+    const auto closedCount = [&] {
+        return std::count_if(connections.begin(), connections.end(),
+                             [](const TestConnection& connection) { return connection.closedByPeer; });
+    };
+    REQUIRE(test.program.waitUntil([&] { return closedCount() == 1; }));
+    // Several checks for idle connections later the other one is still open.
+    CHECK_FALSE(test.program.waitUntil([&] { return closedCount() == 2; }, 1000));
+}
--- a/tests/program/repeated_answer_test.cpp
+++ b/tests/program/repeated_answer_test.cpp
@@ -110,7 +110,8 @@
     }
 }
 
-// The same for a request that waits for its own connection and is given another one.
+// Guards against a reuse that is too early, or missing, for a request that waits for its own connection and
+// is given another one.
 TEST_CASE("a request that waits for its connection uses another one once its last answer cannot come again") {
     LateConnectionFixture test;
     test.sendFirstRequest();
