--- a/tests/program/repeated_answer_test.cpp
+++ b/tests/program/repeated_answer_test.cpp
@@ -11,8 +11,8 @@
 
 using TimePoint = std::chrono::steady_clock::time_point;
 
-/// How late a repeated answer may come: the protocol says "some milliseconds", and gives times from 0.1 s on
-/// in seconds.
+/// How late a repeated answer may come: the page on the days at full size says "some milliseconds", and gives
+/// times from 0.1 s on in seconds.
 constexpr double kLatestRepeatMs = 100;
 
 double elapsedMs(TimePoint since) {
