--- a/review/6/case-2.cpp
+++ b/review/6/case-2.cpp
@@ -1,18 +1,19 @@
-// Case 6: half-written requests take a scheduler over its limit of memory.
+// Case 6: a few bad clients that send a chunk size without an end take a scheduler over its limit of memory.
 //
-// Eight usual clients ask for reads, one request at a time, for 12 s. The disruption: within 2 s, 1,200 other
-// connections arrive that write a PUT with a long head of short fields (under 8 KiB) and most of its body (the longest
-// that the protocol allows) and then stop. The platform samples the process and kills it over `memory_mb`. What it
-// counts is less than the limit of a platform would count: only the private memory (RssAnon), not files and libraries.
-// PLAIN=1: an ordinary head, and 32 MB with 1,024 descriptors.
+// Eight usual clients ask for reads, one request at a time, for 20 s. The disruption: ten bad clients connect, send the
+// head of a PUT with "Transfer-Encoding: chunked" and then, at full speed, up to 60 MB of a chunk size that has no end:
+// hex digits without a line feed. They read whatever is sent to them. The platform samples the process and kills it
+// over `memory_mb`. What it counts is less than the limit of a platform would count: only the private memory (RssAnon),
+// not files and libraries.
 #include "standin.h"
 
 using namespace standin;
 
 namespace {
 
-constexpr int kStorageNodes = 8, kUsualClients = 8, kHalfWritten = 1200, kShortFields = 1'250;
-constexpr double kDayMs = 12'000, kTroubleAtMs = 3'000, kTroubleMs = 2'000;
+constexpr int kStorageNodes = 8, kUsualClients = 8, kBadClients = 10, kMemoryMb = 48, kSockets = 640;
+constexpr std::size_t kBodyBytes = 60'000'000;
+constexpr double kDayMs = 20'000, kTroubleAtMs = 3'000;
 
 long privateKb(pid_t pid) {
     std::ifstream status("/proc/" + std::to_string(pid) + "/status");
@@ -25,13 +26,6 @@
 
 int main(int count, char** values) {
     const Setup setup(count, values);
-    const bool plain = std::getenv("PLAIN") != nullptr;
-    const int memoryMb = plain ? 32 : 48, sockets = plain ? 1024 : 640;
-    rlimit files{};
-    getrlimit(RLIMIT_NOFILE, &files);
-    files.rlim_cur = files.rlim_max;
-    setrlimit(RLIMIT_NOFILE, &files);
-    if (files.rlim_cur < 3'000) cannotRun("fewer than 3,000 descriptors for the stand-ins");
     Record record(setup.caseFolder + "/record.txt");
 
     std::atomic<int> executed = 0;
@@ -49,8 +43,8 @@
     const int port = freePort();
     const std::string configuration =
         R"({"name":"n0","listen":")" + addressText(port) + R"(","discovery":")" + addressText(discovery.port()) +
-        R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" + std::to_string(memoryMb) +
-        R"(,"sockets":)" + std::to_string(sockets) + R"(},"known":)" + discovery.list() + R"(,"settings":{
+        R"(","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":)" + std::to_string(kMemoryMb) +
+        R"(,"sockets":)" + std::to_string(kSockets) + R"(},"known":)" + discovery.list() + R"(,"settings":{
   "Classes":[
    {"Name":"profile-read","AimMs":300,"DeadlineMs":2000,"Idempotency":"retryable","DedupWindowMs":5000,"Points":3,"LateWorth":0.15,"Stream":false,"Group":"all"},
    {"Name":"new-write","AimMs":600,"DeadlineMs":4000,"Idempotency":"dedup","DedupWindowMs":4000,"Points":2,"LateWorth":0.2,"Stream":false,"Group":"cell"}],
@@ -64,7 +58,7 @@
     const std::string file = setup.write("config.json", configuration);
     Process scheduler(setup.root, setup.run, setup.temporary, file, setup.temporary + "/log");
     if (!waitUntilReady(port, "/healthz", 10'000)) cannotRun("the scheduler is not ready");
-    record.line("scheduler: memory_mb %d, sockets %d; private memory %ld kB", memoryMb, sockets,
+    record.line("scheduler: memory_mb %d, sockets %d; private memory %ld kB", kMemoryMb, kSockets,
                 privateKb(scheduler.pid()));
 
     const double beginMs = nowMs();
@@ -95,25 +89,29 @@
                 sleepMs(20);
             }
         });
-    std::vector<std::unique_ptr<Connection>> halfWritten;
-    std::atomic<int> arrived = 0;
-    if (setup.trouble)
-        threads.emplace_back([&] {
+    std::atomic<std::size_t> badBytes = 0;
+    for (int k = 0; k < kBadClients && setup.trouble; ++k)
+        threads.emplace_back([&, k] {
             while (nowMs() < beginMs + kTroubleAtMs) sleepMs(10);
-            for (int i = 0; i < kHalfWritten && !over; ++i) {
-                while (nowMs() < beginMs + kTroubleAtMs + kTroubleMs * i / kHalfWritten) sleepMs(1);
-                Request request{.className = "new-write", .id = "h" + std::to_string(i), .piece = hex16(i),
-                                .body = std::string(65'536, 'z'), .isWrite = true, .deadlineMs = 4000,
-                                .shard = i % kStorageNodes};
-                std::string text = request.text();
-                for (int field = 0; field < kShortFields && !plain; ++field)
-                    text.insert(text.find("Content-Length"), "x: 1\r\n");
-                auto connection = Connection::open(port);
-                if (!connection) continue;
-                (void)connection->send(text.substr(0, text.size() - 1'000));
-                ++arrived;
-                halfWritten.push_back(std::move(connection));
+            const double connectedMs = nowMs();
+            const auto connection = Connection::open(port);
+            if (!connection) return;
+            Request request{.className = "new-write", .id = "bad" + std::to_string(k), .piece = hex16(k), .body = "",
+                            .isWrite = true, .deadlineMs = 4000, .shard = k % kStorageNodes};
+            std::string head = request.text();
+            head.replace(head.find("Content-Length: 0"), 17, "Transfer-Encoding: chunked");
+            bool open = connection->send(head);
+            const std::string digits(65'536, '0');
+            std::size_t sent = 0;
+            Message reply;
+            while (open && sent < kBodyBytes && !over) {
+                open = connection->send(digits);
+                sent += digits.size();
+                badBytes += digits.size();
+                if (connection->read(reply, nowMs()) != Connection::Read::timedOut) open = false;
             }
+            record.line("bad client %d: after %zu bytes and %.1f s: %s", k, sent, (nowMs() - connectedMs) / 1000,
+                        open ? "neither an error nor a close" : "an error or a close");
         });
 
     long peakKb = 0;
@@ -127,14 +125,14 @@
         const long kb = privateKb(scheduler.pid());
         peakKb = std::max(peakKb, kb);
         if (nowMs() >= nextLineMs) {
-            record.line("platform: private memory %ld kB; half-written so far %d; usual requests answered %d", kb,
-                        arrived.load(), answered.load());
+            record.line("platform: private memory %ld kB; bytes of the bad clients %zu; usual requests answered %d", kb,
+                        badBytes.load(), answered.load());
             nextLineMs = nowMs() + 500;
         }
-        if (kb > memoryMb * 1024L) {
+        if (kb > kMemoryMb * 1024L) {
             killed = true;
-            record.line("platform: %ld kB is over memory_mb %d (%d kB): kills the scheduler; half-written so far %d",
-                        kb, memoryMb, memoryMb * 1024, arrived.load());
+            record.line("platform: %ld kB is over memory_mb %d (%d kB): kills the scheduler; bytes of the bad clients %zu",
+                        kb, kMemoryMb, kMemoryMb * 1024, badBytes.load());
             scheduler.signal(SIGKILL);
             sleepMs(3'000);
             break;
