review: case 7, long answers in small chunks are cut off

Answers of 16 MB in chunks of 4 KiB, given whole by the storage nodes: 20 of 20 are cut off after about 4.16 MB. With chunks of 64 KiB 20 of 20 come whole. Seen first by hand with 4 MB in chunks of 1,000 bytes: cut at 1.16 MB, with the counters answer_cut=1 and answer_passed_on=1.

--- a/review/standins-2/standin.h
+++ b/review/standins-2/standin.h
@@ -153,7 +153,17 @@
             buffer_.append(chunk, static_cast<std::size_t>(n));
         }
     }
-    void shutDown() { ::shutdown(fd_, SHUT_RDWR); }
+    /// Appends what arrives next, for messages that read() does not know.
+    Read readSome(std::string& bytes, double untilMs) {
+        const double left = untilMs - nowMs();
+        pollfd readable{fd_, POLLIN, 0};
+        if (left <= 0 || ::poll(&readable, 1, static_cast<int>(left) + 1) == 0) return Read::timedOut;
+        char chunk[65536];
+        const ssize_t n = recv(fd_, chunk, sizeof chunk, 0);
+        if (n <= 0) return Read::closed;
+        bytes.append(chunk, static_cast<std::size_t>(n));
+        return Read::message;
+    }
 
 private:
     bool takeMessage(Message& message) {
