Bound requests that never end: evhttp gets a request only once it is whole

Cause: evhttp bounds heads and bodies, not the line with a chunk's size, nor empty lines between chunks; the front bounded no connection's input before its request was complete; closeStalledConnections() spared connections with unread bytes, which a client at full speed always has.

Change: ClientInput keeps a request's text until it is whole; RequestScanner finds its end and bounds every part; RequestArrival decides from what has arrived and when, unread bytes or not, how long a request may take. The same input stands in front of the ops address. Pipelined input behind a streamed answer, which evhttp read without a bound, is bounded too.

--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -42,8 +42,8 @@
                       config_.knownNodes),
           httpPool_(base_.get(), clock_, config_.limits, counters_),
           inherited_(requestHandover()),
-          httpFront_(base_.get(), config_.listen, dispatcher_, httpPool_, config_.settings, config_.limits,
-                     log_, inheritedSocket("http")),
+          httpFront_(base_.get(), config_.listen, dispatcher_, httpPool_, requestMemory_, config_.settings,
+                     config_.limits, log_, inheritedSocket("http")),
           sigterm_(base_.get(), SIGTERM, [this] { shutDown(); }),
           sigint_(base_.get(), SIGINT, [this] { shutDown(); }),
           sighup_(base_.get(), SIGHUP, [this] { reload(); }),
@@ -296,6 +296,7 @@
     Config config_;
     Clock clock_;
     Counters counters_;
+    RequestMemory requestMemory_{config_.limits.maxRequestMemoryBytes, counters_.requestBytes};
     LibeventPtr<event_base> base_;
     Log log_;
     std::optional<PeerSocket> peers_;
--- a/src/core/counters.h
+++ b/src/core/counters.h
@@ -22,11 +22,14 @@
     }
     /// Gauge: bytes of node answers in memory, from the node connection to the client connection.
     std::size_t answerBytes = 0;
+    /// Gauge: bytes of clients' requests in memory, from the client connection to the answer.
+    std::size_t requestBytes = 0;
 
-    /// Returns all counters and the gauge, ordered by name.
+    /// Returns all counters and the gauges, ordered by name.
     [[nodiscard]] std::map<std::string, std::uint64_t> snapshot() const {
         std::map<std::string, std::uint64_t> values(counts_.begin(), counts_.end());
         values["answer_bytes"] = answerBytes;
+        values["request_bytes"] = requestBytes;
         return values;
     }
     /// Formats all values as "name value" lines, ordered by name.
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -3,7 +3,9 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <limits>
 
+#include "arrival/request_arrival.h"
 #include "core/backoff.h"
 #include "core/discovery_timing.h"
 
@@ -20,6 +22,9 @@
     std::uint64_t maxStreamedAnswerBytes = 1ULL << 30;   // a greater length is treated as invalid
     std::size_t maxAnswerMemoryBytes = 8 * 1024 * 1024;  // all node answers in memory
     std::size_t maxHeaderBytes = 8 * 1024;
+    std::size_t maxRequestMemoryBytes = std::numeric_limits<std::size_t>::max();  // requests that arrive
+    // Of that, what a client's input holds is not counted up to this: the memory of its connection covers it.
+    std::size_t uncountedInputBytes = 4 * 1024;
     std::size_t maxReadAheadBytes = 8 * 1024;  // pipelined requests of a client, behind the current one
     // Input of a client that is discarded between its last answer and the close of the connection.
     std::size_t maxLingerBytes = 1024 * 1024;
@@ -69,7 +74,12 @@
     // Idle beside another connection to the same node, which holds only so many for all schedulers.
     double surplusNodeIdleTimeoutMs = 3000;
     double clientIdleTimeoutMs = 2500;    // client connection without an open request
-    double firstRequestTimeoutMs = 2000;  // client connection without a first request
+    double clientIoTimeoutMs = 3500;      // of one read or write, longer than the times that are decided on
+    double firstRequestTimeoutMs = 2000;  // client connection on which nothing arrives
+    ArrivalPace arrivalPace;              // of clients' requests
+    // How long a request waits for memory while it arrives; then it is refused.
+    double requestMemoryWaitMs = 250;
+    double requestMemoryCheckIntervalMs = 5;  // between checks while requests wait for memory
     // At the connection limit these shorter timeouts apply, so that connections become free.
     double crowdedIdleTimeoutMs = 1000;
     double crowdedFirstRequestTimeoutMs = 100;
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -12,6 +12,7 @@
 #include <cerrno>
 #include <cmath>
 #include <cstdio>
+#include <limits>
 #include <stdexcept>
 #include <string_view>
 #include <vector>
@@ -22,24 +23,28 @@
 namespace {
 
 /// Reads the pipelined input that follows the request in progress, because the client's close is seen only
-/// after it. Stops at `maxBytes` bytes in the buffer from which evhttp takes the next request. Returns false
-/// if the client has disconnected or the connection failed.
-bool readAhead(bufferevent* bev, std::size_t maxBytes) {
-    const evutil_socket_t fd = bufferevent_getfd(bev);
-    evbuffer* input = bufferevent_get_input(bev);
+/// after it. Returns false if the client has disconnected or the connection failed.
+bool readAhead(ClientInput& input) {
+    const evutil_socket_t fd = bufferevent_getfd(input.connection());
     char chunk[4096];
-    while (evbuffer_get_length(input) < maxBytes) {
+    while (!input.isReadAheadFull()) {
         const ssize_t received = recv(fd, chunk, sizeof chunk, MSG_DONTWAIT);
         if (received == 0) return false;
         if (received < 0) return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
-        evbuffer_unfreeze(input, 0);  // 0: the end; libevent allows only its own reads to append
-        evbuffer_add(input, chunk, static_cast<std::size_t>(received));
-        evbuffer_freeze(input, 0);
+        input.addReadAhead({chunk, static_cast<std::size_t>(received)});
     }
     pollfd closeCheck{fd, POLLRDHUP, 0};  // with bytes left in the kernel, a close shows as POLLRDHUP
     return poll(&closeCheck, 1, 0) <= 0 || (closeCheck.revents & (POLLRDHUP | POLLHUP | POLLERR)) == 0;
 }
 
+/// The value of Retry-After, in seconds. It has fractions, unlike in RFC 9110: the advice may be shorter than
+/// a second.
+std::string retryAfterSeconds(double retryAfterMs) {
+    char seconds[32];
+    std::snprintf(seconds, sizeof seconds, "%.3f", retryAfterMs / 1000);
+    return seconds;
+}
+
 }  // namespace
 
 /// Handles one client request. Exists until the request is answered or its client has disconnected, and all
@@ -115,7 +120,8 @@
             client.stream = std::move(startedStream_);
             front_.decideConnectionClose(request);
             return client.stream->sendHeaders(
-                request, [front = &front_](evhttp_connection* connection, bool complete) {
+                request, [input = client.input.get()] { input->limitReadAhead(); },
+                [front = &front_](evhttp_connection* connection, bool complete) {
                     front->onStreamDone(connection, complete);
                 });
         }
@@ -126,12 +132,8 @@
                     evhttp_add_header(headers, "Content-Type", servedReply_.contentType.c_str());
                 return front_.sendReply(request, 200, "OK", std::move(servedReply_.body));
             case AnswerStatus::refused:
-                if (answer.retryAfterMs > 0) {
-                    // With fractions, unlike RFC 9110: the advice may be shorter than a second.
-                    char seconds[32];
-                    std::snprintf(seconds, sizeof seconds, "%.3f", answer.retryAfterMs / 1000);
-                    evhttp_add_header(headers, "Retry-After", seconds);
-                }
+                if (answer.retryAfterMs > 0)
+                    evhttp_add_header(headers, "Retry-After", retryAfterSeconds(answer.retryAfterMs).c_str());
                 return front_.sendReply(request, 503, "Service Unavailable");
             case AnswerStatus::failed:
                 return front_.sendReply(request, 502, "Bad Gateway");
@@ -170,13 +172,14 @@
 
     static void onClientReadable(evutil_socket_t, short, void* arg) {
         auto* self = static_cast<HttpRequestHandler*>(arg);
-        const std::size_t maxBytes = self->front_.limits_.maxReadAheadBytes;
-        if (readAhead(self->clientBufferevent(), maxBytes)) {
-            // With the buffer full, EV_READ would fire continuously, so a timer checks the socket instead.
-            const bool full =
-                evbuffer_get_length(bufferevent_get_input(self->clientBufferevent())) >= maxBytes;
-            if (full)
-                event_assign(self->disconnectWatch_.get(), self->front_.base_, -1, 0, onClientReadable, self);
+        ClientInput& input =
+            *self->front_.connections_.at(evhttp_request_get_connection(self->request_)).input;
+        if (readAhead(input)) {
+            // While no more is read, EV_READ would fire continuously, so a timer checks the socket instead.
+            const bool full = input.isReadAheadFull();
+            event_assign(self->disconnectWatch_.get(), self->front_.base_,
+                         full ? -1 : bufferevent_getfd(input.connection()), full ? 0 : EV_READ,
+                         onClientReadable, self);
             const timeval checkInterval = toTimeval(self->front_.limits_.readAheadCheckIntervalMs);
             event_add(self->disconnectWatch_.get(), full ? &checkInterval : nullptr);
             return;
@@ -201,20 +204,6 @@
 
 namespace {
 
-/// Returns whether the socket has unread bytes, also true on error. Closing it would lose a request in them.
-bool hasUnreadBytes(bufferevent* bev) {
-    int unreadBytes = 0;
-    return ioctl(bufferevent_getfd(bev), FIONREAD, &unreadBytes) != 0 || unreadBytes > 0;
-}
-
-/// Returns whether the socket has unread bytes, or the input buffer has bytes that were not processed.
-bool hasInput(bufferevent* bev) {
-    return hasUnreadBytes(bev) || evbuffer_get_length(bufferevent_get_input(bev)) > 0;
-}
-
-/// Returns whether output is still to be written.
-bool hasOutput(bufferevent* bev) { return evbuffer_get_length(bufferevent_get_output(bev)) > 0; }
-
 /// Returns whether evhttp closes the connection once the request's answer is written.
 bool endsWithAnswer(evhttp_request* request) {
     const auto hasConnectionOption = [](evkeyvalq* headers, const char* option) {
@@ -228,61 +217,50 @@
            (isHttp10 && !hasConnectionOption(requestHeaders, "keep-alive"));
 }
 
-/// Closes a connection at once by making evhttp handle a read timeout. After a plain shutdown of the socket
-/// evhttp would first read and accept a request that arrives in that moment, and could not answer it.
-void closeViaTimeoutEvent(bufferevent* bev) {
-    bufferevent_trigger_event(bev, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
-}
-
 /// Returns whether a connection waits to be accepted.
 bool connectionWaits(evutil_socket_t listener) {
     pollfd pending{listener, POLLIN, 0};
     return poll(&pending, 1, 0) > 0;
 }
 
-constexpr std::string_view kPartialRefusal =
-    "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
-
-}  // namespace
-
-HttpFront::InputTracker::InputTracker(bufferevent* connectionBev) : bev(connectionBev) {
-    evbuffer_add_cb(bufferevent_get_input(bev), onInput, this);
+/// An answer without a body that closes its connection, as it is sent in place of evhttp.
+std::string closingReply(const std::string& status, const std::string& fields = "") {
+    return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: 0\r\nConnection: close\r\n\r\n";
 }
 
-HttpFront::InputTracker::~InputTracker() { evbuffer_remove_cb(bufferevent_get_input(bev), onInput, this); }
-
-void HttpFront::InputTracker::onInput(evbuffer*, const evbuffer_cb_info* info, void* arg) {
-    auto* self = static_cast<InputTracker*>(arg);
-    if (info->n_added == 0) return;
-    self->requestStarted = true;
-    // Input after evhttp has closed the connection is not consumed, so reading stops.
-    if (isClosedByEvhttp(self->bev)) bufferevent_disable(self->bev, EV_READ);
+std::string malformedReply(int status) {
+    return closingReply(status == 413   ? "413 Content Too Large"
+                        : status == 431 ? "431 Request Header Fields Too Large"
+                                        : "400 Bad Request");
 }
 
-bool HttpFront::InputTracker::isIdle() const { return !requestStarted && !hasInput(bev) && !hasOutput(bev); }
-
-bool HttpFront::InputTracker::hasPartialRequest() const {
-    const bool hasBytes = requestStarted || evbuffer_get_length(bufferevent_get_input(bev)) > 0;
-    // Unread bytes may complete the request, so evhttp has to read them first.
-    return hasBytes && !hasUnreadBytes(bev) && !hasOutput(bev);
-}
+}  // namespace
 
 HttpFront::HttpFront(event_base* base, const Address& listenAddress, Dispatcher& dispatcher,
-                     HttpNodeConnectionPool& pool, const limedrum::ProgramSettings& settings,
-                     const Limits& limits, Log& log, int inheritedListenFd)
+                     HttpNodeConnectionPool& pool, RequestMemory& requestMemory,
+                     const limedrum::ProgramSettings& settings, const Limits& limits, Log& log,
+                     int inheritedListenFd)
     : base_(base),
       dispatcher_(dispatcher),
       pool_(pool),
       settings_(settings),
       limits_(limits),
       log_(log),
+      requestMemory_(requestMemory),
+      blockedTimer_(base, [this] { serveBlockedInputs(); }),
+      inputContext_{{limits.maxHeaderBytes, limits.maxRequestBodyBytes},
+                    limits.uncountedInputBytes,
+                    limits.maxReadAheadBytes,
+                    requestMemory,
+                    clock_,
+                    [this] { blockedTimer_.start(0); }},
       connectionCheckTimer_(base, [this] { checkConnections(); }),
       lingeringCloses_(base, limits, dispatcher.counters()),
       server_(evhttp_new(base)) {
     evhttp_set_max_body_size(server_.get(), static_cast<ev_ssize_t>(limits.maxRequestBodyBytes));
     evhttp_set_max_headers_size(server_.get(), static_cast<ev_ssize_t>(limits.maxHeaderBytes));
-    const timeval idle = toTimeval(limits.clientIdleTimeoutMs);
-    evhttp_set_timeout_tv(server_.get(), &idle);
+    const timeval timeout = toTimeval(limits.clientIoTimeoutMs);
+    evhttp_set_timeout_tv(server_.get(), &timeout);
     evhttp_set_gencb(server_.get(), onRequest, this);
     evhttp_set_bevcb(server_.get(), onAccept, this);
     boundSocket_ =
@@ -314,32 +292,95 @@
     std::vector<bufferevent*> stalled;
     for (const auto& [bev, connection] : newConnections_)
         if (connection.acceptedAtMs <= acceptedBefore && connection.input->isIdle()) stalled.push_back(bev);
-    for (bufferevent* bev : stalled) closeViaTimeoutEvent(bev);
+    for (bufferevent* bev : stalled) closeEvhttpConnection(bev);
     if (refusePartial) refusePartialRequests();
     std::erase_if(newConnections_, [](const auto& e) { return isClosedByEvhttp(e.first); });
 }
 
+std::vector<HttpFront::WaitingInput> HttpFront::waitingInputs() const {
+    std::vector<WaitingInput> inputs;
+    for (const auto& [connection, client] : connections_)
+        if (!client.isBusy()) inputs.push_back({client.input.get(), connection});
+    for (const auto& [bev, connection] : newConnections_)
+        if (!isClosedByEvhttp(bev)) inputs.push_back({connection.input.get(), nullptr});
+    return inputs;
+}
+
+void HttpFront::closeWithReply(const WaitingInput& waiting, std::string_view reply) {
+    bufferevent* bev = waiting.input->connection();
+    (void)send(bufferevent_getfd(bev), reply.data(), reply.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    if (waiting.connection != nullptr) {
+        connections_.at(waiting.connection).lingerOnClose = true;
+        return evhttp_connection_free(waiting.connection);
+    }
+    auto newConnection = newConnections_.extract(bev);
+    closeEvhttpConnection(bev);
+    newConnection.mapped().input.reset();
+    lingeringCloses_.add(std::move(newConnection.mapped().bev));
+}
+
+void HttpFront::refuseArriving(const WaitingInput& waiting) {
+    dispatcher_.counters().add("request_partial_refused");
+    const double retryAfterMs = limits_.overloadRetryAfterMs;
+    closeWithReply(
+        waiting,
+        closingReply("503 Service Unavailable",
+                     retryAfterMs > 0 ? "Retry-After: " + retryAfterSeconds(retryAfterMs) + "\r\n" : ""));
+}
+
 void HttpFront::refusePartialRequests() {
-    const auto refuse = [this](bufferevent* bev) {
-        dispatcher_.counters().add("request_partial_refused");
-        (void)send(bufferevent_getfd(bev), kPartialRefusal.data(), kPartialRefusal.size(), MSG_NOSIGNAL);
-    };
-    std::vector<evhttp_connection*> partial;
-    for (auto& [connection, client] : connections_) {
-        if (client.isBusy() || !client.input->hasPartialRequest()) continue;
-        refuse(client.input->bev);
-        client.lingerOnClose = true;
-        partial.push_back(connection);
+    for (const WaitingInput& waiting : waitingInputs())
+        if (waiting.input->hasPartialRequest()) refuseArriving(waiting);
+}
+
+void HttpFront::serveBlockedInputs() {
+    while (serveLongestWaiting()) {
+    }
+    bool blocked = requestMemory_.isOver();
+    for (const WaitingInput& waiting : waitingInputs()) {
+        const ClientInput::State state = waiting.input->state();
+        blocked = blocked || state == ClientInput::State::waitingForMemory ||
+                  state == ClientInput::State::malformed;
+        // An answer that is still being written goes first.
+        if (state != ClientInput::State::malformed || hasOutput(waiting.input->connection())) continue;
+        const int status = waiting.input->errorStatus();
+        dispatcher_.counters().add("request_malformed");
+        log_.warn("client", "malformed request", {{"reason", "framing"}, {"status", status}});
+        closeWithReply(waiting, malformedReply(status));
+    }
+    if (blocked) blockedTimer_.start(limits_.requestMemoryCheckIntervalMs);
+}
+
+bool HttpFront::serveLongestWaiting() {
+    const double now = clock_.nowMs();
+    const std::vector<WaitingInput> inputs = waitingInputs();
+    const WaitingInput* longest = nullptr;
+    std::vector<ArrivingRequest> arriving;
+    std::vector<const WaitingInput*> arrivingInputs;
+    for (const WaitingInput& candidate : inputs) {
+        const ClientInput& input = *candidate.input;
+        if (input.state() == ClientInput::State::waitingForMemory) {
+            if (longest == nullptr ||
+                *input.arrival().pausedSinceMs() < *longest->input->arrival().pausedSinceMs())
+                longest = &candidate;
+        } else if (input.chargedBytes() > 0 && input.hasPartialRequest()) {
+            arriving.push_back({&input.arrival(), input.chargedBytes()});
+            arrivingInputs.push_back(&candidate);
+        }
     }
-    for (evhttp_connection* connection : partial) evhttp_connection_free(connection);
-    for (auto& [bev, newConnection] : newConnections_) {
-        if (isClosedByEvhttp(bev) || !newConnection.input->hasPartialRequest()) continue;
-        refuse(bev);
-        closeViaTimeoutEvent(bev);
-        newConnection.input.reset();
-        lingeringCloses_.add(std::move(newConnection.bev));
+    if (longest == nullptr && !requestMemory_.isOver()) return false;
+    if (longest != nullptr && longest->input->tryResume()) return true;
+    if (const auto stalled = chooseLongestStalled(arriving, now, limits_.arrivalPace)) {
+        dispatcher_.counters().add("request_no_memory");
+        refuseArriving(*arrivingInputs[*stalled]);
+        return true;
     }
-    std::erase_if(newConnections_, [](const auto& e) { return e.second.bev == nullptr; });
+    if (longest == nullptr) return false;
+    const bool givenUp = now - *longest->input->arrival().pausedSinceMs() >= limits_.requestMemoryWaitMs;
+    if (!givenUp || hasOutput(longest->input->connection())) return false;
+    dispatcher_.counters().add("request_no_memory");
+    refuseArriving(*longest);
+    return true;
 }
 
 void HttpFront::flushOutput() {
@@ -370,26 +411,55 @@
     for (const auto& [lastUsedMs, connection] : idle) evhttp_connection_free(connection);
 }
 
-void HttpFront::closeStalledConnections(std::size_t maxCount, double stalledMs) {
-    const double stalledSinceMs = dispatcher_.nowMs() - stalledMs;
-    std::vector<std::pair<double, bufferevent*>> stalled;
-    std::erase_if(newConnections_, [](const auto& e) { return isClosedByEvhttp(e.first); });
-    for (const auto& [bev, newConnection] : newConnections_) {
-        if (newConnection.acceptedAtMs <= stalledSinceMs && !hasUnreadBytes(bev))
-            stalled.emplace_back(newConnection.acceptedAtMs, bev);
+void HttpFront::closeOverdueConnections() {
+    const double now = clock_.nowMs();
+    std::vector<bufferevent*> overdue;
+    for (const WaitingInput& waiting : waitingInputs()) {
+        const ClientInput& input = *waiting.input;
+        const bool hasUnread = hasUnreadBytes(input.connection());
+        // Unread bytes have waited for this program as long as it was held up.
+        const double heldUpMs = hasUnread ? limits_.arrivalPace.graceMs : 0;
+        const bool late = input.arrival().isOverdue(now - heldUpMs, limits_.arrivalPace);
+        if (late || (!hasUnread && isSilent(waiting, limits_.firstRequestTimeoutMs)))
+            overdue.push_back(input.connection());
     }
-    // This includes clients that send a request piece by piece: each piece restarts evhttp's own timeout.
-    for (const auto& [connection, client] : connections_) {
-        bufferevent* bev = evhttp_connection_get_bufferevent(connection);
-        if (!client.isBusy() && client.lastUsedMs <= stalledSinceMs - limits_.clientIdleTimeoutMs &&
-            !hasUnreadBytes(bev))
-            stalled.emplace_back(client.lastUsedMs, bev);
+    closeSilent(overdue);
+}
+
+bool HttpFront::isSilent(const WaitingInput& waiting, double silentMs) const {
+    const double silentSinceMs = dispatcher_.nowMs() - silentMs;
+    const ClientInput& input = *waiting.input;
+    if (input.state() == ClientInput::State::waitingForMemory) return false;
+    if (input.state() == ClientInput::State::receiving && input.hasBytes()) return false;
+    if (waiting.connection == nullptr)
+        return newConnections_.at(input.connection()).acceptedAtMs <= silentSinceMs;
+    return connections_.at(waiting.connection).lastUsedMs <= silentSinceMs - limits_.clientIdleTimeoutMs;
+}
+
+void HttpFront::closeStalledConnections(std::size_t maxCount) {
+    const double now = clock_.nowMs();
+    std::vector<std::pair<double, bufferevent*>> stalled;  // the smallest first
+    for (const WaitingInput& waiting : waitingInputs()) {
+        const ClientInput& input = *waiting.input;
+        if (hasUnreadBytes(input.connection())) continue;
+        const RequestArrival& arrival = input.arrival();
+        if (isSilent(waiting, limits_.crowdedFirstRequestTimeoutMs))
+            stalled.emplace_back(-std::numeric_limits<double>::infinity(), input.connection());
+        else if (input.hasPartialRequest() && arrival.isStalled(now, limits_.arrivalPace) &&
+                 arrival.silentMs(now) >= limits_.crowdedFirstRequestTimeoutMs)
+            stalled.emplace_back(-arrival.silentMs(now), input.connection());
     }
     std::sort(stalled.begin(), stalled.end());
     stalled.resize(std::min(stalled.size(), maxCount));
-    for (const auto& [sinceMs, bev] : stalled) closeViaTimeoutEvent(bev);
+    std::vector<bufferevent*> connections;
+    for (const auto& [order, bev] : stalled) connections.push_back(bev);
+    closeSilent(connections);
+}
+
+void HttpFront::closeSilent(const std::vector<bufferevent*>& connections) {
+    for (bufferevent* bev : connections) closeEvhttpConnection(bev);
     std::erase_if(newConnections_, [](const auto& e) { return isClosedByEvhttp(e.first); });
-    if (!stalled.empty()) dispatcher_.counters().add("client_silent", stalled.size());
+    if (!connections.empty()) dispatcher_.counters().add("client_silent", connections.size());
 }
 
 bool HttpFront::atConnectionLimit() const {
@@ -434,14 +504,15 @@
     connectionCheckTimer_.start(0);
 }
 
-// Connections stalled for `firstRequestTimeoutMs` are always closed. At the connection limit, those stalled
-// for a shorter time are closed too, then those idle longest; `reservedDescriptors` also serves as the number
+// Overdue connections are always closed. At the connection limit, those on which nothing goes on for a
+// shorter time are closed too, then those idle longest; `reservedDescriptors` also serves as the number
 // of connections closed at once. Meanwhile new connections wait in the listener's queue, and requests on the
 // open connections are still served.
 void HttpFront::checkConnections() {
-    closeStalledConnections(newConnections_.size() + connections_.size(), limits_.firstRequestTimeoutMs);
+    closeOverdueConnections();
+    closeIdleConnections(connections_.size(), limits_.clientIdleTimeoutMs);
     if (atConnectionLimit()) {
-        closeStalledConnections(limits_.reservedDescriptors, limits_.crowdedFirstRequestTimeoutMs);
+        closeStalledConnections(limits_.reservedDescriptors);
         closeIdleConnections(limits_.reservedDescriptors, limits_.crowdedIdleTimeoutMs);
     }
     if (evacuating() && dispatcher_.nowMs() - *evacuatingSinceMs_ >= limits_.evacuateCloseDelayMs)
@@ -458,7 +529,7 @@
     if (!connection) return nullptr;
     bufferevent* bev = connection.get();
     self->newConnections_[bev] = {std::move(connection), self->dispatcher_.nowMs(),
-                                  std::make_unique<InputTracker>(bev)};
+                                  std::make_unique<ClientInput>(bev, self->inputContext_)};
     if (self->atConnectionLimit()) {  // before the next connection is accepted
         self->setAccepting(false);
         self->connectionCheckTimer_.start(0);
@@ -495,15 +566,13 @@
         bufferevent* bev = evhttp_connection_get_bufferevent(connection);
         auto newConnection =
             newConnections_.extract(bev);  // empty if onAccept() could not allocate a bufferevent
-        client->second.input =
-            newConnection ? std::move(newConnection.mapped().input) : std::make_unique<InputTracker>(bev);
+        client->second.input = newConnection ? std::move(newConnection.mapped().input)
+                                             : std::make_unique<ClientInput>(bev, inputContext_);
         if (newConnection) client->second.bev = std::move(newConnection.mapped().bev);
         setTcpNoDelay(bufferevent_getfd(bev));
     }
     client->second.lingerOnClose = false;
-    // Bytes that follow this request are the beginning of the next one.
-    const evbuffer* input = bufferevent_get_input(evhttp_connection_get_bufferevent(connection));
-    client->second.input->requestStarted = evbuffer_get_length(input) > 0;
+    client->second.input->requestTaken();
     std::string error;
     if (!validateFraming(request, error)) return rejectMalformed(request, error);
     if (uri == "/healthz" && (evacuating() || (readinessCheck_ && !readinessCheck_())))
@@ -516,7 +585,7 @@
     if (!decoded) return rejectMalformed(request, error);
     // A client that pipelines requests may have disconnected before this one is submitted. The answer, which
     // nobody receives, lets evhttp free the request.
-    if (!readAhead(evhttp_connection_get_bufferevent(connection), limits_.maxReadAheadBytes)) {
+    if (!readAhead(*client->second.input)) {
         dispatcher_.counters().add("client_gone_untaken");
         evhttp_add_header(evhttp_request_get_output_headers(request), "Connection", "close");
         return sendReply(request, 503, "Service Unavailable");
@@ -554,7 +623,7 @@
     if (found == connections_.end()) return;
     Client& client = found->second;
     if (shouldCloseConnections() && !endsWithAnswer(request)) {
-        const bool keepOpen = hasInput(evhttp_connection_get_bufferevent(connection)) &&
+        const bool keepOpen = (client.input->hasBytes() || hasUnreadBytes(client.input->connection())) &&
                               client.answersWhileClosing < limits_.maxRequestsWhileClosing;
         if (keepOpen)
             ++client.answersWhileClosing;
@@ -566,6 +635,7 @@
 
 void HttpFront::sendReply(evhttp_request* request, int code, const char* reason, std::string body) {
     decideConnectionClose(request);
+    readNextRequest(evhttp_request_get_connection(request));
     addAccountedBody(evhttp_request_get_output_buffer(request), std::move(body), dispatcher_.counters());
     evhttp_send_reply(request, code, reason, nullptr);
 }
@@ -580,7 +650,14 @@
         dispatcher_.counters().add("answer_cut");
         return evhttp_connection_free(connection);
     }
+    readNextRequest(connection);
     stream->finishResponse();
 }
 
+void HttpFront::readNextRequest(evhttp_connection* connection) {
+    const auto client = connections_.find(connection);
+    if (client != connections_.end() && !client->second.lingerOnClose)
+        client->second.input->requestAnswered();
+}
+
 }  // namespace martencove
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -5,8 +5,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <string_view>
+#include <vector>
 
+#include "arrival/request_memory.h"
+#include "core/clock.h"
 #include "core/dispatcher.h"
+#include "http/client_input.h"
 #include "http/message.h"
 #include "http/node_connection.h"
 #include "http/response_stream.h"
@@ -28,8 +33,9 @@
 /// draining       until closeListener() -          yes
 /// "-": not affected. Answers close their connections as decideConnectionClose() describes.
 ///
-/// Counters: request_partial_refused: requests refused that had arrived in part. client_silent: stalled
-/// connections closed. client_crowd: times that accepting stopped at the connection limit.
+/// Counters: request_partial_refused: requests refused that had arrived in part. request_no_memory: those of
+/// them for which the memory did not suffice. client_silent: connections closed on which nothing arrived, or
+/// a request too slowly. client_crowd: times that accepting stopped at the connection limit.
 /// client_gone_untaken: requests whose client disconnected before they were submitted. request_not_taken:
 /// requests that the dispatcher did not accept. answer_cut: streamed answers that were truncated.
 class HttpFront {
@@ -37,8 +43,9 @@
     /// `inheritedListenFd`: a socket that already listens at `listenAddress`; -1: binds a new one. Throws
     /// std::runtime_error if it cannot listen.
     HttpFront(event_base* base, const Address& listenAddress, Dispatcher& dispatcher,
-              HttpNodeConnectionPool& pool, const limedrum::ProgramSettings& settings, const Limits& limits,
-              Log& log, int inheritedListenFd = -1);
+              HttpNodeConnectionPool& pool, RequestMemory& requestMemory,
+              const limedrum::ProgramSettings& settings, const Limits& limits, Log& log,
+              int inheritedListenFd = -1);
     ~HttpFront();
     HttpFront(const HttpFront&) = delete;
     HttpFront& operator=(const HttpFront&) = delete;
@@ -62,6 +69,8 @@
     /// time to notice /healthz, idle connections are closed.
     void setEvacuating(bool on);
     [[nodiscard]] bool evacuating() const { return evacuatingSinceMs_.has_value(); }
+    /// To be called when the limit on the memory for requests has changed.
+    void onRequestMemoryChanged() { blockedTimer_.start(0); }
     /// From now on answers close their connections.
     void startDraining() { draining_ = true; }
     /// Closes the listener once the connections in its queue have been accepted, for which it ends a pause of
@@ -97,15 +106,38 @@
     /// Answers requests that have arrived in part with 503 and closes their connections. Clients can
     /// safely repeat them, since nothing was executed.
     void refusePartialRequests();
+    /// To be called before the answer is handed to evhttp: lets the next request on the connection follow.
+    void readNextRequest(evhttp_connection* connection);
     /// Called when a streamed answer has ended. If it is not complete, closes the connection.
     void onStreamDone(evhttp_connection* connection, bool complete);
     /// Closes at most `maxCount` connections that have been idle for `idleMs` or longer, the longest idle
     /// first. Their clients can reconnect.
     void closeIdleConnections(std::size_t maxCount, double idleMs);
-    /// Closes at most `maxCount` connections that were accepted `stalledMs` or longer ago without a complete
-    /// request since, or whose last use was `stalledMs` plus `clientIdleTimeoutMs` or longer ago. They may
-    /// have sent part of a request, but have no unread bytes. The longest stalled are closed first.
-    void closeStalledConnections(std::size_t maxCount, double stalledMs);
+    /// A connection on which no request is in progress.
+    struct WaitingInput {
+        ClientInput* input;
+        evhttp_connection* connection;  // null: it has had no request yet
+    };
+    [[nodiscard]] std::vector<WaitingInput> waitingInputs() const;
+    /// Sends an answer in place of evhttp, which has not got the request, and closes the connection.
+    void closeWithReply(const WaitingInput& waiting, std::string_view reply);
+    /// Refuses a request that has not arrived whole. It was not executed.
+    void refuseArriving(const WaitingInput& waiting);
+    /// Serves the inputs that do not go on by themselves: answers malformed requests, and lets those that
+    /// wait for memory go on or refuses them.
+    void serveBlockedInputs();
+    /// Lets the request that waits longest for memory go on, or makes room for it, or refuses it. Also makes
+    /// room if more memory is used than is allowed. Returns false if nothing could be done.
+    bool serveLongestWaiting();
+    /// Closes the connections on which nothing has arrived for `firstRequestTimeoutMs`, or a request slower
+    /// than `arrivalPace`.
+    void closeOverdueConnections();
+    /// Closes at most `maxCount` connections that were accepted `crowdedFirstRequestTimeoutMs` ago and have
+    /// brought nothing, or whose request has not gone on for as long; those with nothing first.
+    void closeStalledConnections(std::size_t maxCount);
+    /// Whether no request has begun to arrive on the connection for `silentMs`.
+    [[nodiscard]] bool isSilent(const WaitingInput& waiting, double silentMs) const;
+    void closeSilent(const std::vector<bufferevent*>& connections);
     /// Returns whether too many descriptors or connections are in use to accept another connection.
     bool atConnectionLimit() const;
     void setAccepting(bool on);
@@ -123,26 +155,6 @@
     std::optional<double> evacuatingSinceMs_;  // clock time in ms; nullopt: not evacuating
     bool accepting_ = true;
     bool acceptingPaused_ = false;
-    /// Tracks whether bytes have arrived on a connection since its last complete request. The length of the
-    /// input buffer alone does not tell, since evhttp removes the headers from it before the body has
-    /// arrived. handleRequest() resets `requestStarted` when it takes a request.
-    struct InputTracker {
-        explicit InputTracker(bufferevent* connectionBev);
-        ~InputTracker();
-        InputTracker(const InputTracker&) = delete;
-        InputTracker& operator=(const InputTracker&) = delete;
-        /// Returns whether no bytes have arrived since the last complete request and all output is written.
-        bool isIdle() const;
-        /// Returns whether part of a request has arrived, nothing is left to read and all output is written.
-        /// Meaningful only while no request of the connection is in progress.
-        bool hasPartialRequest() const;
-
-        bufferevent* bev;
-        bool requestStarted = false;  // bytes have arrived since the last complete request
-
-    private:
-        static void onInput(evbuffer*, const evbuffer_cb_info* info, void* self);
-    };
     struct Client {
         BuffereventRef bev;                      // holds the descriptor open for lingerOnClose
         bool lingerOnClose = false;              // on close, drop input for a while: net/lingering_closes.h
@@ -150,11 +162,15 @@
         HttpRequestHandler* handler = nullptr;   // of the request in progress, or null
         std::unique_ptr<ResponseStream> stream;  // the answer being streamed, or null
         double lastUsedMs = 0;                   // time of the last request or answer
-        std::unique_ptr<InputTracker> input;
+        std::unique_ptr<ClientInput> input;
 
         bool isBusy() const { return handler != nullptr || stream != nullptr; }
         bool isIdle() const { return !isBusy() && input->isIdle(); }
     };
+    const Clock clock_;
+    RequestMemory& requestMemory_;
+    Timer blockedTimer_;
+    ClientInputContext inputContext_;
     std::map<evhttp_connection*, Client> connections_;  // with at least one request
     // A connection without any request so far. evhttp reports a connection only with its first request, so a
     // reference to its bufferevent is kept until then. When evhttp closes the connection, it removes the
@@ -162,7 +178,7 @@
     struct NewConnection {
         BuffereventRef bev;
         double acceptedAtMs = 0;
-        std::unique_ptr<InputTracker> input;
+        std::unique_ptr<ClientInput> input;
     };
     std::map<bufferevent*, NewConnection> newConnections_;
     std::map<std::string, std::function<std::string()>, std::less<>> pages_;
--- a/src/http/response_stream.cpp
+++ b/src/http/response_stream.cpp
@@ -41,14 +41,15 @@
 // evhttp applies its idle timeout for reading also while it writes a response, so there is no read timeout
 // while a response is streamed.
 void ResponseStream::setClientTimeouts(bool reading) {
-    const timeval idle = toTimeval(limits_.clientIdleTimeoutMs),
+    const timeval idle = toTimeval(limits_.clientIoTimeoutMs),
                   stall = toTimeval(limits_.streamStallTimeoutMs);
     bufferevent_set_timeouts(evhttp_connection_get_bufferevent(evhttp_request_get_connection(request_)),
                              reading ? &idle : nullptr, reading ? &idle : &stall);
 }
 
-void ResponseStream::sendHeaders(evhttp_request* request, DoneCallback done) {
+void ResponseStream::sendHeaders(evhttp_request* request, WriteCallback onWrite, DoneCallback done) {
     request_ = request;
+    onWrite_ = std::move(onWrite);
     onDone_ = std::move(done);
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
     if (!contentType_.empty()) evhttp_add_header(headers, "Content-Type", contentType_.c_str());
@@ -56,6 +57,7 @@
     counters_.add("answer_passed_on");
     setClientTimeouts(false);
     evhttp_send_reply_start(request, 200, "OK");
+    onWrite_();
 }
 
 void ResponseStream::finishResponse() {
@@ -77,6 +79,7 @@
     addAccountedBody(buffer.get(), std::move(bytes), counters_);
     evhttp_connection* connection = evhttp_request_get_connection(request_);
     evhttp_send_reply_chunk_with_cb(request_, buffer.get(), onOutputDrained, this);
+    onWrite_();
     const evbuffer* output = bufferevent_get_output(evhttp_connection_get_bufferevent(connection));
     if (readingPaused_ || evbuffer_get_length(output) <= limits_.maxStreamBufferBytes) return;
     readingPaused_ = true;
--- a/src/http/response_stream.h
+++ b/src/http/response_stream.h
@@ -30,6 +30,8 @@
     /// Called at the end of a streamed response. If it is not complete, the client's connection has to be
     /// closed. May free this object.
     using DoneCallback = std::function<void(evhttp_connection*, bool complete)>;
+    /// Called after evhttp has taken a part of the answer, for which it also reads from the client.
+    using WriteCallback = std::function<void()>;
 
     ResponseStream(HttpNodeConnectionPool& pool, const Limits& limits, Counters& counters,
                    Callbacks callbacks)
@@ -42,7 +44,7 @@
     [[nodiscard]] bool hasSentBytes() const { return inFlightRequest_->hasSentBytes(); }
 
     /// Sends status and headers to the client; the body follows through onBodyData().
-    void sendHeaders(evhttp_request* request, DoneCallback done);
+    void sendHeaders(evhttp_request* request, WriteCallback onWrite, DoneCallback done);
     /// Ends the response to the client; `request()` is null afterwards.
     void finishResponse();
     /// Returns the client's request, which its connection owns; null before sendHeaders().
@@ -63,6 +65,7 @@
     const Limits& limits_;
     Counters& counters_;
     Callbacks callbacks_;
+    WriteCallback onWrite_;
     DoneCallback onDone_;
     std::unique_ptr<InFlightRequest<HttpNodeConnection>> inFlightRequest_;
     std::string contentType_;
--- a/src/net/loop.cpp
+++ b/src/net/loop.cpp
@@ -47,6 +47,10 @@
     return onEvent == nullptr;
 }
 
+void closeEvhttpConnection(bufferevent* buffers) {
+    bufferevent_trigger_event(buffers, BEV_EVENT_READING | BEV_EVENT_TIMEOUT, 0);
+}
+
 void setTcpNoDelay(evutil_socket_t fd) {
     const int on = 1;
     setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &on, sizeof on);
--- a/src/net/loop.h
+++ b/src/net/loop.h
@@ -38,6 +38,10 @@
 [[nodiscard]] BuffereventRef addReference(bufferevent* buffers);
 /// Whether evhttp has closed the connection of a bufferevent that is still referenced.
 [[nodiscard]] bool isClosedByEvhttp(bufferevent* buffers);
+/// Closes a connection that evhttp owns and that is not being answered. It happens at once, by making evhttp
+/// handle a read timeout: after a plain shutdown of the socket evhttp would first read and accept a request
+/// that arrives in that moment, and could not answer it.
+void closeEvhttpConnection(bufferevent* buffers);
 
 /// Disables Nagle's algorithm, so that small writes and the end of long ones do not wait for
 /// acknowledgements.
--- a/src/ops/front.cpp
+++ b/src/ops/front.cpp
@@ -4,11 +4,15 @@
 
 #include <stdexcept>
 #include <string>
+#include <string_view>
 #include <utility>
 
 namespace martencove::ops {
 namespace {
 
+constexpr std::string_view kBadRequest =
+    "HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\nConnection: close\r\n\r\n";
+
 /// Answers 200 (`ok`), 405 (`allow` given) or 503, and closes the connection.
 void sendAnswer(evhttp_request* request, bool ok, const char* allow = nullptr) {
     evkeyvalq* headers = evhttp_request_get_output_headers(request);
@@ -31,6 +35,13 @@
       limits_(limits),
       counters_(counters),
       log_(log),
+      malformedTimer_(base, [this] { rejectMalformedCalls(); }),
+      inputContext_{{limits.maxHeaderBytes, limits.maxOpsBodyBytes},
+                    0,
+                    0,
+                    requestMemory_,
+                    clock,
+                    [this] { malformedTimer_.start(0); }},
       sweepTimer_(base, [this] { closeTimedOutCallers(); }),
       server_(evhttp_new(base)) {
     evhttp_set_max_headers_size(server_.get(), static_cast<ev_ssize_t>(limits.maxHeaderBytes));
@@ -51,7 +62,7 @@
     self->counters_.add("ops_connection");
     self->closeTimedOutCallers();
     if (self->callers_.size() >= self->limits_.maxOpsConnections) {
-        shutdown(bufferevent_getfd(self->callers_.front().buffers.get()), SHUT_RDWR);
+        self->close(self->callers_.front());
         self->callers_.pop_front();
         self->counters_.add("ops_crowd");
     }
@@ -60,7 +71,8 @@
     bufferevent* buffers = connection.get();
     // Calls have to be answered under any load.
     bufferevent_priority_set(buffers, kHighPriority);
-    self->callers_.push_back({std::move(connection), self->clock_.nowMs()});
+    self->callers_.push_back({std::move(connection), self->clock_.nowMs(),
+                              std::make_unique<ClientInput>(buffers, self->inputContext_)});
     return buffers;
 }
 
@@ -69,13 +81,33 @@
     // evhttp's own timeout restarts with each byte.
     const double acceptedBefore = clock_.nowMs() - limits_.opsRequestTimeoutMs;
     while (!callers_.empty() && callers_.front().acceptedAtMs < acceptedBefore) {
-        shutdown(bufferevent_getfd(callers_.front().buffers.get()), SHUT_RDWR);
+        close(callers_.front());
         callers_.pop_front();
         counters_.add("ops_silent");
     }
     sweepTimer_.start(limits_.sweepIntervalMs);
 }
 
+// A caller whose answer is still being written has no timeout that evhttp could handle: its socket is shut
+// down instead.
+void Front::close(const Caller& caller) {
+    if (caller.input->state() == ClientInput::State::delivered)
+        shutdown(bufferevent_getfd(caller.buffers.get()), SHUT_RDWR);
+    else
+        closeEvhttpConnection(caller.buffers.get());
+}
+
+void Front::rejectMalformedCalls() {
+    for (const Caller& caller : callers_) {
+        bufferevent* buffers = caller.buffers.get();
+        if (isClosedByEvhttp(buffers) || caller.input->state() != ClientInput::State::malformed) continue;
+        counters_.add("ops_malformed");
+        (void)send(bufferevent_getfd(buffers), kBadRequest.data(), kBadRequest.size(),
+                   MSG_NOSIGNAL | MSG_DONTWAIT);
+        closeEvhttpConnection(buffers);
+    }
+}
+
 void Front::onRequest(evhttp_request* request, void* self) {
     static_cast<Front*>(self)->handleRequest(request);
 }
--- a/src/ops/front.h
+++ b/src/ops/front.h
@@ -3,12 +3,14 @@
 #pragma once
 
 #include <functional>
+#include <limits>
 #include <list>
 #include <memory>
 
 #include "core/clock.h"
 #include "core/counters.h"
 #include "core/limits.h"
+#include "http/client_input.h"
 #include "net/address.h"
 #include "net/log.h"
 #include "net/loop.h"
@@ -22,8 +24,8 @@
     std::function<void()> rejoin;    ///< accepts clients again
 };
 
-/// The HTTP server of the operations endpoint. It limits the number of connections and the time of each, so
-/// that silent callers cannot keep others out.
+/// The HTTP server of the operations endpoint. It limits the number of connections, the time of each and what
+/// it may send, so that callers that are silent or never end cannot keep others out.
 class Front {
 public:
     /// Throws std::runtime_error if the address cannot be bound.
@@ -38,6 +40,8 @@
     void handleRequest(evhttp_request* request);
     /// Runs periodically: closes connections older than `opsRequestTimeoutMs`.
     void closeTimedOutCallers();
+    /// Answers calls that cannot be read to their end, and closes their connections.
+    void rejectMalformedCalls();
 
     Callbacks callbacks_;
     const Clock& clock_;
@@ -49,7 +53,16 @@
     struct Caller {
         BuffereventRef buffers;
         double acceptedAtMs = 0;
+        std::unique_ptr<ClientInput> input;
     };
+    void close(const Caller& caller);
+
+    // Bounded by the number of connections and the length of a call, so that it needs no limit of its own.
+    std::size_t requestMemoryLimit_ = std::numeric_limits<std::size_t>::max();
+    std::size_t requestMemoryBytes_ = 0;
+    RequestMemory requestMemory_{requestMemoryLimit_, requestMemoryBytes_};
+    Timer malformedTimer_;
+    ClientInputContext inputContext_;
     std::list<Caller> callers_;
     Timer sweepTimer_;
     LibeventPtr<evhttp> server_;  // last member: its destruction closes the connections
--- a/tests/ops/ops_test.cpp
+++ b/tests/ops/ops_test.cpp
@@ -51,6 +51,21 @@
     CHECK(test.program.stopAndWait() == 0);
 }
 
+// Guards against callers at this address that are read into memory without a bound.
+TEST_CASE("ops: a call without an end is answered with an error and closed") {
+    OpsFixture test;
+    const std::string chunked = "PUT /api/ready HTTP/1.1\r\nHost: o\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const std::string& call : {chunked + std::string(2000, '0'), chunked + std::string(2000, '\n'),
+                                    "PUT /api/" + std::string(9000, 'a')}) {
+        TestConnection connection(test.program.base.get(), test.opsAddress);
+        connection.send(call);
+        REQUIRE(test.program.waitUntil([&] { return connection.closedByPeer; }));
+        CHECK(connection.received.starts_with("HTTP/1.1 400"));
+    }
+    CHECK(test.program.readCounter("ops_malformed") == 3);
+    CHECK(test.call("GET", "/api/ready") == 200);
+}
+
 // Guards against silent callers that use up the descriptors or keep others from an answer.
 TEST_CASE("ops: silent callers and incomplete calls do not keep others from an answer") {
     OpsFixture test;
--- a/tests/program/program_harness.cpp
+++ b/tests/program/program_harness.cpp
@@ -414,6 +414,15 @@
     return pid_ > 0;
 }
 
+long long ProgramHarness::privateMemoryBytes() const {
+    constexpr long long kBytesPerUnit = 1024;
+    std::ifstream status("/proc/" + std::to_string(pid_) + "/status");
+    const std::string field = "RssAnon:";
+    for (std::string line; std::getline(status, line);)
+        if (line.starts_with(field)) return std::stoll(line.substr(field.size())) * kBytesPerUnit;
+    return 0;
+}
+
 int ProgramHarness::stopAndWait(int signal) {
     if (running() && !(terminationRequested_ && signal == SIGTERM)) sendSignal(signal);
     if (!waitUntil([this] { return !running(); })) return -1;
--- a/tests/program/program_harness.h
+++ b/tests/program/program_harness.h
@@ -168,6 +168,14 @@
     /// 20 s.
     [[nodiscard]] int stopAndWait(int signal = SIGTERM);
     [[nodiscard]] bool running();
+    /// The program's private memory now (RssAnon), in bytes; 0 if it does not run.
+    [[nodiscard]] long long privateMemoryBytes() const;
+    /// Whether privateMemoryBytes() is the program's own memory: with sanitizers, it is mostly theirs.
+#ifdef __SANITIZE_ADDRESS__
+    static constexpr bool kMeasuresMemory = false;
+#else
+    static constexpr bool kMeasuresMemory = true;
+#endif
     /// The temporary folder of this harness, which the destructor removes.
     [[nodiscard]] const std::string& folder() const { return folder_; }
     /// Writes the current `config` to the configuration file; the program reads it again upon SIGHUP.
