Limit the memory of all requests, from their first byte to their answer

Cause: the number of clients' connections follows from the descriptors alone, and what requests hold was not counted: the text of those that arrive, the parsed heads, and the bodies of open ones, which existed twice and once more for each attempt. In an upgrade each of the two processes used the memory of one.

Change: RequestMemory counts requests against a third of what the program leaves of memory_mb. In an upgrade the processes divide the limit. NBD clients' commands and input count too. At the connection limit requests in part are given up only for connections that wait, the longest silent first.

Why it works: whatever form a request has and wherever it waits, its memory is charged before it is kept, or bounded by the 8 KiB that each connection has in the sum.

--- a/src/arrival/request_arrival.cpp
+++ b/src/arrival/request_arrival.cpp
@@ -1,6 +1,7 @@
 #include "arrival/request_arrival.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace martencove {
 
@@ -49,4 +50,27 @@
     return chosen;
 }
 
+std::vector<std::size_t> chooseConnectionsForRoom(const std::vector<WaitingConnection>& connections,
+                                                  double nowMs, const ArrivalPace& pace,
+                                                  const RoomNeeded& needed) {
+    std::vector<std::size_t> chosen;
+    std::vector<std::pair<double, std::size_t>> stalled;
+    for (std::size_t i = 0; i < connections.size(); ++i) {
+        const WaitingConnection& connection = connections[i];
+        const double silentMs = connection.arrival->silentMs(nowMs);
+        if (connection.isSilent)
+            chosen.push_back(i);
+        else if (connection.hasPartialRequest && connection.arrival->isStalled(nowMs, pace) &&
+                 silentMs >= needed.stallTimeoutMs)
+            stalled.emplace_back(silentMs, i);
+    }
+    std::sort(stalled.rbegin(), stalled.rend());
+    for (const auto& [silentMs, index] : stalled) {
+        if (chosen.size() >= needed.waitingCount) break;
+        chosen.push_back(index);
+    }
+    chosen.resize(std::min(chosen.size(), needed.maxCount));
+    return chosen;
+}
+
 }  // namespace martencove
--- a/src/arrival/request_arrival.h
+++ b/src/arrival/request_arrival.h
@@ -60,4 +60,24 @@
 [[nodiscard]] std::optional<std::size_t> chooseLongestStalled(const std::vector<ArrivingRequest>& requests,
                                                               double nowMs, const ArrivalPace& pace);
 
+/// A connection of which no request is in progress, and whose input has all been read.
+struct WaitingConnection {
+    const RequestArrival* arrival;
+    bool isSilent;           ///< no request has begun to arrive in the time that is allowed at the limit
+    bool hasPartialRequest;  ///< a request has arrived in part
+};
+
+/// How many connections are closed at the limit on connections.
+struct RoomNeeded {
+    std::size_t maxCount;      ///< at most this many
+    std::size_t waitingCount;  ///< new connections that wait to be accepted
+    double stallTimeoutMs;     ///< a request in part that has been silent for a shorter time is kept
+};
+
+/// Chooses the connections that make room for new ones: silent ones, and only for connections that wait those
+/// with a stalled request, the longest silent first. Returns their indices.
+[[nodiscard]] std::vector<std::size_t> chooseConnectionsForRoom(
+    const std::vector<WaitingConnection>& connections, double nowMs, const ArrivalPace& pace,
+    const RoomNeeded& needed);
+
 }  // namespace martencove
--- a/src/cli/program.cpp
+++ b/src/cli/program.cpp
@@ -1,5 +1,7 @@
 #include "cli/program.h"
 
+#include <malloc.h>
+
 #include <algorithm>
 #include <cmath>
 #include <csignal>
@@ -49,6 +51,7 @@
           sighup_(base_.get(), SIGHUP, [this] { reload(); }),
           sigusr1_(base_.get(), SIGUSR1, [this] { logCounters(); }),
           exitTimer_(base_.get(), [this] { exitWhenDrained(); }),
+          memoryTrimTimer_(base_.get(), [this] { trimMemory(); }),
           firstListTimer_(base_.get(), [this] { startAccepting(); }) {
         if (config_.peerListen)
             peers_.emplace(
@@ -66,8 +69,8 @@
         }
         if (sections.nbd) {
             nbdPool_.emplace(base_.get(), clock_, config_.limits, counters_);
-            nbdFront_.emplace(base_.get(), std::move(*sections.nbd), dispatcher_, *nbdPool_, config_.limits,
-                              log_, inheritedSocket("nbd"));
+            nbdFront_.emplace(base_.get(), std::move(*sections.nbd), dispatcher_, *nbdPool_, requestMemory_,
+                              config_.limits, log_, inheritedSocket("nbd"));
         }
 #endif
 #ifdef MARTENCOVE_ETCD
@@ -96,7 +99,19 @@
             handoverServer_.emplace(
                 base_.get(), handoverSocketPath(), [this] { return socketsToHandOver(); },
                 [this] { return scheduler_.exportState(clock_.nowMs()); },
+                [this](bool present) {
+                    successorPresent_ = present;
+                    shareMemory();
+                },
                 [this](bool on) { setYielding(on); }, counters_, log_);
+        if (inherited_) {
+            predecessorWatch_.emplace(base_.get(), *inherited_, [this] {
+                predecessorPresent_ = false;
+                shareMemory();
+            });
+            predecessorPresent_ = true;
+            shareMemory();
+        }
         if (discovery_ && config_.limits.listPushed) {
             httpFront_.pauseAccepting();
             if (nbdFront_) nbdFront_->pauseAccepting();
@@ -194,6 +209,24 @@
         if (peers_) peers_->setYielded(on);
     }
 
+    // In an upgrade the limit on memory is that of all processes together, so that each takes an equal part
+    // of what requests may hold.
+    void shareMemory() {
+        const std::size_t processes = 1 + (predecessorPresent_ ? 1 : 0) + (successorPresent_ ? 1 : 0);
+        config_.limits.maxRequestMemoryBytes = requestMemoryBytes_ / processes;
+        log_.info("handover", "memory for requests",
+                  {{"bytes", config_.limits.maxRequestMemoryBytes}, {"processes", processes}});
+        httpFront_.onRequestMemoryChanged();
+        if (successorPresent_) trimMemory();
+    }
+    // Returns freed memory to the system while a successor needs it.
+    void trimMemory() {
+#ifdef __GLIBC__
+        malloc_trim(0);
+#endif
+        if (successorPresent_) memoryTrimTimer_.start(config_.limits.sweepIntervalMs);
+    }
+
     // Starts accepting clients. With a pushed node list they wait in the listener's queue until the first
     // list or firstListTimeoutMs, because the configured list may be outdated and the list that the local
     // agent has counts as known to this program.
@@ -312,9 +345,13 @@
     std::optional<etcd::NodeSource> etcdSource_;  // replaces discovery
 #endif
     std::optional<handover::ReceivedHandover> inherited_;  // from the previous process
+    std::optional<handover::PredecessorWatch> predecessorWatch_;
     HttpFront httpFront_;
     std::optional<handover::HandoverServer> handoverServer_;
     bool yielding_ = false;
+    const std::size_t requestMemoryBytes_ = config_.limits.maxRequestMemoryBytes;  // of one process alone
+    bool predecessorPresent_ = false;
+    bool successorPresent_ = false;
     std::optional<ops::Front> opsFront_;
     std::optional<nbd::NbdNodeConnectionPool> nbdPool_;
     std::optional<nbd::Front> nbdFront_;
@@ -326,6 +363,7 @@
     SignalHandler sighup_;
     SignalHandler sigusr1_;
     Timer exitTimer_;
+    Timer memoryTrimTimer_;
     Timer firstListTimer_;
     bool acceptingStarted_ = false;
     LongestDeadline longestDeadline_{config_.limits.longestDeadlineMs};
--- a/src/config/config.cpp
+++ b/src/config/config.cpp
@@ -90,7 +90,15 @@
     const std::size_t maxConnections =
         std::min<std::size_t>(limits.maxDescriptors, 1024) - limits.reservedDescriptors;
     limits.maxNodeConnections = maxConnections * 2 / 5;
-    limits.maxClientConnections = maxConnections - limits.maxNodeConnections;
+    // A third of what the program leaves is for requests. Of that, two thirds at most are for the
+    // connections.
+    const std::size_t requestBytes = (megabytes * 1024 * 1024 - limits.programBytes) / 3;
+    limits.maxClientConnections = std::min(maxConnections - limits.maxNodeConnections,
+                                           requestBytes * 2 / 3 / limits.clientConnectionBytes);
+    limits.maxRequestMemoryBytes = requestBytes - limits.maxClientConnections * limits.clientConnectionBytes;
+    // What an NBD client has sent of a command is counted, but has no limit on the sum of all clients.
+    limits.maxNbdClients = std::clamp<std::size_t>(limits.maxRequestMemoryBytes / limits.maxNbdInputBytes(),
+                                                   1, limits.maxNbdClients);
     limits.maxKeepAliveConnections = limits.maxClientConnections / 2;
     limits.maxLingeringConnections =
         std::min(limits.maxLingeringConnections, limits.maxClientConnections / 4);
--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -3,7 +3,6 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <limits>
 
 #include "arrival/request_arrival.h"
 #include "core/backoff.h"
@@ -22,10 +21,12 @@
     std::uint64_t maxStreamedAnswerBytes = 1ULL << 30;   // a greater length is treated as invalid
     std::size_t maxAnswerMemoryBytes = 8 * 1024 * 1024;  // all node answers in memory
     std::size_t maxHeaderBytes = 8 * 1024;
-    std::size_t maxRequestMemoryBytes = std::numeric_limits<std::size_t>::max();  // requests that arrive
+    std::size_t maxRequestMemoryBytes = 4 * 1024 * 1024;  // all requests in memory, arriving and open ones
     // Of that, what a client's input holds is not counted up to this: the memory of its connection covers it.
     std::size_t uncountedInputBytes = 4 * 1024;
-    std::size_t maxReadAheadBytes = 8 * 1024;  // pipelined requests of a client, behind the current one
+    std::size_t programBytes = 6 * 1024 * 1024;    // the program without load; "Files are counted as memory"
+    std::size_t clientConnectionBytes = 8 * 1024;  // a client's connection with its uncounted input
+    std::size_t maxReadAheadBytes = 8 * 1024;      // pipelined requests of a client, behind the current one
     // Input of a client that is discarded between its last answer and the close of the connection.
     std::size_t maxLingerBytes = 1024 * 1024;
     std::size_t maxDatagramBytes = 256;
@@ -78,11 +79,12 @@
     double firstRequestTimeoutMs = 2000;  // client connection on which nothing arrives
     ArrivalPace arrivalPace;              // of clients' requests
     // How long a request waits for memory while it arrives; then it is refused.
-    double requestMemoryWaitMs = 250;
+    double requestMemoryWaitMs = 500;
     double requestMemoryCheckIntervalMs = 5;  // between checks while requests wait for memory
     // At the connection limit these shorter timeouts apply, so that connections become free.
     double crowdedIdleTimeoutMs = 1000;
     double crowdedFirstRequestTimeoutMs = 100;
+    double crowdedStallTimeoutMs = 300;  // of a request that has arrived in part
     double crowdedCheckIntervalMs = 10;  // between checks whether connections are free again
     // Whether the list of nodes is pushed to an agent on this machine. Then a change counts as known to this
     // host once the agent has it, and calls to the agent cost nothing.
@@ -118,6 +120,9 @@
     double overloadRetryAfterMs = 0;             // retry advice above the limits; 0: no advice allowed
     double nbdHandshakeTimeoutMs = 5000;
 
+    /// Unprocessed input of one NBD client, in bytes: above this, no more is read.
+    [[nodiscard]] std::size_t maxNbdInputBytes() const { return 2 * maxRequestBodyBytes; }
+
     /// Copies the limits that depend on settings which may change at run time.
     void updateReloadable(const Limits& next) {
         maxOpenRequests = next.maxOpenRequests;
--- a/src/handover/handover.cpp
+++ b/src/handover/handover.cpp
@@ -169,14 +169,32 @@
     return handover;
 }
 
+PredecessorWatch::PredecessorWatch(event_base* base, const ReceivedHandover& handover,
+                                   std::function<void()> onGone)
+    : onGone_(std::move(onGone)),
+      event_(event_new(base, handover.predecessorConnection.get(), EV_READ | EV_PERSIST, onReadable, this)) {
+    event_add(event_.get(), nullptr);
+}
+
+void PredecessorWatch::onReadable(evutil_socket_t connection, short, void* arg) {
+    auto* self = static_cast<PredecessorWatch*>(arg);
+    char unread[4096];  // of a learned state that was given up
+    const ssize_t received = recv(connection, unread, sizeof unread, MSG_DONTWAIT);
+    if (received > 0 || (received < 0 && (errno == EAGAIN || errno == EINTR))) return;
+    event_del(self->event_.get());
+    self->onGone_();
+}
+
 HandoverServer::HandoverServer(event_base* base, std::string path,
                                std::function<std::map<std::string, int>()> getSockets,
                                std::function<std::string()> exportState,
+                               std::function<void(bool)> onSuccessorChange,
                                std::function<void(bool)> onTakeoverChange, Counters& counters, Log& log)
     : base_(base),
       path_(std::move(path)),
       getSockets_(std::move(getSockets)),
       exportState_(std::move(exportState)),
+      onSuccessorChange_(std::move(onSuccessorChange)),
       onTakeoverChange_(std::move(onTakeoverChange)),
       counters_(counters),
       log_(log) {}
@@ -222,6 +240,7 @@
         [](evutil_socket_t, short, void* self) { static_cast<HandoverServer*>(self)->onSuccessorMessage(); },
         this));
     event_add(successorEvent_.get(), nullptr);
+    onSuccessorChange_(true);
 }
 
 void HandoverServer::onSuccessorMessage() {
@@ -240,6 +259,7 @@
     successorConnection_.reset();
     counters_.add("handover_over");
     log_.warn("handover", "the successor process has exited", {{"took_clients", successorTookOver_}});
+    onSuccessorChange_(false);
     if (!std::exchange(successorTookOver_, false)) return;
     listen();
     onTakeoverChange_(false);
--- a/src/handover/handover.h
+++ b/src/handover/handover.h
@@ -53,14 +53,31 @@
 /// sends no sockets in time.
 [[nodiscard]] std::optional<ReceivedHandover> requestHandover(const std::string& path, const Limits& limits);
 
+/// Calls back once the process that handed its sockets over has exited.
+class PredecessorWatch {
+public:
+    /// `handover` has to outlive this object. `onGone` is called from the loop.
+    PredecessorWatch(event_base* base, const ReceivedHandover& handover, std::function<void()> onGone);
+    PredecessorWatch(const PredecessorWatch&) = delete;
+    PredecessorWatch& operator=(const PredecessorWatch&) = delete;
+
+private:
+    static void onReadable(evutil_socket_t connection, short, void* self);
+
+    std::function<void()> onGone_;
+    LibeventPtr<event> event_;
+};
+
 /// Serves handover requests of successors at a path, one successor at a time.
 class HandoverServer {
 public:
     /// `getSockets` returns the open sockets by name. `exportState` returns the learned state; once it is
-    /// called, that state belongs to the successor. `onTakeoverChange` is called with true when the successor
-    /// accepts clients and with false when it has exited.
+    /// called, that state belongs to the successor. `onSuccessorChange` is called with true when a successor
+    /// has the sockets and with false when it has exited; `onTakeoverChange` with true when it accepts
+    /// clients and with false when it has exited after that.
     HandoverServer(event_base* base, std::string path, std::function<std::map<std::string, int>()> getSockets,
                    std::function<std::string()> exportState,
+                   std::function<void(bool present)> onSuccessorChange,
                    std::function<void(bool tookOver)> onTakeoverChange, Counters& counters, Log& log);
     HandoverServer(const HandoverServer&) = delete;
     HandoverServer& operator=(const HandoverServer&) = delete;
@@ -78,6 +95,7 @@
     std::string path_;
     std::function<std::map<std::string, int>()> getSockets_;
     std::function<std::string()> exportState_;
+    std::function<void(bool)> onSuccessorChange_;
     std::function<void(bool)> onTakeoverChange_;
     Counters& counters_;
     Log& log_;
--- a/src/http/client_input.cpp
+++ b/src/http/client_input.cpp
@@ -13,8 +13,14 @@
 
 constexpr std::size_t kReadBytes = 4096;             // libevent reads at most this many bytes at once
 constexpr std::size_t kMaxCopiedBytes = kReadBytes;  // longer requests are passed to evhttp by reference
+constexpr std::size_t kMinReadAheadBytes = 1024;     // enough to notice the close behind a short request
 constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
 
+/// The memory that a text has allocated, in bytes.
+std::size_t allocatedBytes(const std::string& text) {
+    return text.capacity() == std::string().capacity() ? 0 : text.capacity();
+}
+
 /// Appends to a buffer whose end libevent has frozen, since only its own reads may append.
 void appendToInput(evbuffer* input, std::string text) {
     evbuffer_unfreeze(input, 0);  // 0: the end
@@ -121,9 +127,15 @@
 }
 
 std::size_t ClientInput::heldBytes() const {
-    const std::size_t requestBytes = kept_.size() + scanner_.maxRemainingBytes();
-    const std::size_t bytes = (state_ == State::taken ? 0 : requestBytes) + ahead_.size();
-    return bytes > context_.uncountedBytes ? bytes - context_.uncountedBytes : 0;
+    const std::size_t aheadBytes = allocatedBytes(ahead_);
+    if (state_ == State::taken) return aheadBytes;
+    const std::size_t requestBytes =
+        std::max(allocatedBytes(kept_), kept_.size() + scanner_.maxRemainingBytes());
+    return countedBytes(requestBytes + aheadBytes);
+}
+
+std::size_t ClientInput::countedBytes(std::size_t heldBytes) const {
+    return heldBytes > context_.uncountedBytes ? heldBytes - context_.uncountedBytes : 0;
 }
 
 bool ClientInput::chargeNeeded() { return charge_.trySet(heldBytes()); }
@@ -133,10 +145,11 @@
     bufferevent_disable(bev_, EV_READ);
     arrival_.pause(context_.clock.nowMs());
     if (state == State::malformed) {
-        kept_ = {};
-        ahead_ = {};
-        charge_.set(0);
+        kept_ = std::string();
+        ahead_ = std::string();
     }
+    // What was read before the memory could be asked for is held nevertheless.
+    charge_.set(countedBytes(allocatedBytes(kept_) + allocatedBytes(ahead_)));
     context_.onBlocked();
 }
 
@@ -192,9 +205,11 @@
     limitReadAhead();
 }
 
-bool ClientInput::isReadAheadFull() const {
-    const std::size_t allowed = context_.memory.availableBytes() + charge_.bytes();
-    return ahead_.size() >= std::min(context_.maxReadAheadBytes, std::max(context_.uncountedBytes, allowed));
+std::size_t ClientInput::readAheadRoom() const {
+    const std::size_t allowed =
+        std::max(kMinReadAheadBytes, context_.memory.availableBytes() + charge_.bytes());
+    const std::size_t maxBytes = std::min(context_.maxReadAheadBytes, allowed);
+    return maxBytes > ahead_.size() ? maxBytes - ahead_.size() : 0;
 }
 
 void ClientInput::limitReadAhead() {
--- a/src/http/client_input.h
+++ b/src/http/client_input.h
@@ -61,8 +61,9 @@
 
     /// Keeps bytes that were read behind the request in progress.
     void addReadAhead(std::string_view bytes);
-    /// Whether no more is to be read behind the request in progress.
-    [[nodiscard]] bool isReadAheadFull() const;
+    /// How many more bytes may be read behind the request in progress.
+    [[nodiscard]] std::size_t readAheadRoom() const;
+    [[nodiscard]] bool isReadAheadFull() const { return readAheadRoom() == 0; }
     /// Stops reading if isReadAheadFull(). evhttp reads while it writes an answer.
     void limitReadAhead();
 
@@ -89,6 +90,7 @@
     void finishScan();
     /// What the input holds and the rest of the request may add, less what is not counted.
     [[nodiscard]] std::size_t heldBytes() const;
+    [[nodiscard]] std::size_t countedBytes(std::size_t heldBytes) const;
     [[nodiscard]] bool chargeNeeded();
     void block(State state);
     void deliver();
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -3,6 +3,8 @@
 #include <event2/http_struct.h>
 #include <event2/listener.h>
 #include <fcntl.h>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <poll.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
@@ -12,7 +14,6 @@
 #include <cerrno>
 #include <cmath>
 #include <cstdio>
-#include <limits>
 #include <stdexcept>
 #include <string_view>
 #include <vector>
@@ -28,7 +29,7 @@
     const evutil_socket_t fd = bufferevent_getfd(input.connection());
     char chunk[4096];
     while (!input.isReadAheadFull()) {
-        const ssize_t received = recv(fd, chunk, sizeof chunk, MSG_DONTWAIT);
+        const ssize_t received = recv(fd, chunk, std::min(sizeof chunk, input.readAheadRoom()), MSG_DONTWAIT);
         if (received == 0) return false;
         if (received < 0) return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
         input.addReadAhead({chunk, static_cast<std::size_t>(received)});
@@ -45,6 +46,18 @@
     return seconds;
 }
 
+/// Frees the body and the header fields that evhttp holds of a request, but for the field on which its answer
+/// depends. An answer may take long to be written, and a short field takes many times its size.
+void releaseContent(evhttp_request* request) {
+    evbuffer* body = evhttp_request_get_input_buffer(request);
+    evbuffer_drain(body, evbuffer_get_length(body));
+    evkeyvalq* headers = evhttp_request_get_input_headers(request);
+    const char* value = evhttp_find_header(headers, "Connection");
+    const std::string connection = value == nullptr ? "" : value;
+    evhttp_clear_headers(headers);
+    if (!connection.empty()) evhttp_add_header(headers, "Connection", connection.c_str());
+}
+
 }  // namespace
 
 /// Handles one client request. Exists until the request is answered or its client has disconnected, and all
@@ -52,7 +65,11 @@
 class HttpRequestHandler final : public RequestHandler {
 public:
     HttpRequestHandler(HttpFront& front, evhttp_request* request, DecodedRequest decoded)
-        : front_(front), request_(request), decodedRequest_(std::move(decoded)) {
+        : front_(front),
+          request_(request),
+          decodedRequest_(std::move(decoded)),
+          charge_(front.requestMemory_) {
+        charge_.set(decodedRequest_.heldBytes());
         // evhttp does not read while a request is in progress, so the client's close has to be detected here.
         disconnectWatch_.reset(
             event_new(front.base_, bufferevent_getfd(clientBufferevent()), EV_READ, onClientReadable, this));
@@ -196,6 +213,7 @@
     HttpFront& front_;
     evhttp_request* request_;  // null: answered, or the client has disconnected
     DecodedRequest decodedRequest_;
+    RequestMemory::Charge charge_;  // of decodedRequest_
     NodeReply servedReply_;
     std::map<int, std::unique_ptr<ResponseStream>> streams_;  // by attempt number
     std::unique_ptr<ResponseStream> startedStream_;           // of a long response that has begun
@@ -223,6 +241,14 @@
     return poll(&pending, 1, 0) > 0;
 }
 
+/// Returns how many connections wait to be accepted; 0 if the system cannot tell.
+std::size_t waitingConnectionCount(evutil_socket_t listener) {
+    tcp_info info{};
+    socklen_t size = sizeof info;
+    if (getsockopt(listener, IPPROTO_TCP, TCP_INFO, &info, &size) != 0) return 0;
+    return info.tcpi_unacked;  // of a listening socket: the length of its accept queue
+}
+
 /// An answer without a body that closes its connection, as it is sent in place of evhttp.
 std::string closingReply(const std::string& status, const std::string& fields = "") {
     return "HTTP/1.1 " + status + "\r\n" + fields + "Content-Length: 0\r\nConnection: close\r\n\r\n";
@@ -436,24 +462,23 @@
     return connections_.at(waiting.connection).lastUsedMs <= silentSinceMs - limits_.clientIdleTimeoutMs;
 }
 
-void HttpFront::closeStalledConnections(std::size_t maxCount) {
-    const double now = clock_.nowMs();
-    std::vector<std::pair<double, bufferevent*>> stalled;  // the smallest first
+void HttpFront::makeRoomForConnections() {
+    std::vector<bufferevent*> inputs;
+    std::vector<WaitingConnection> candidates;
     for (const WaitingInput& waiting : waitingInputs()) {
         const ClientInput& input = *waiting.input;
         if (hasUnreadBytes(input.connection())) continue;
-        const RequestArrival& arrival = input.arrival();
-        if (isSilent(waiting, limits_.crowdedFirstRequestTimeoutMs))
-            stalled.emplace_back(-std::numeric_limits<double>::infinity(), input.connection());
-        else if (input.hasPartialRequest() && arrival.isStalled(now, limits_.arrivalPace) &&
-                 arrival.silentMs(now) >= limits_.crowdedFirstRequestTimeoutMs)
-            stalled.emplace_back(-arrival.silentMs(now), input.connection());
+        inputs.push_back(input.connection());
+        candidates.push_back({&input.arrival(), isSilent(waiting, limits_.crowdedFirstRequestTimeoutMs),
+                              input.hasPartialRequest()});
     }
-    std::sort(stalled.begin(), stalled.end());
-    stalled.resize(std::min(stalled.size(), maxCount));
-    std::vector<bufferevent*> connections;
-    for (const auto& [order, bev] : stalled) connections.push_back(bev);
-    closeSilent(connections);
+    const RoomNeeded needed{limits_.reservedDescriptors, waitingConnectionCount(listenerFd()),
+                            limits_.crowdedStallTimeoutMs};
+    std::vector<bufferevent*> closing;
+    for (const std::size_t i :
+         chooseConnectionsForRoom(candidates, clock_.nowMs(), limits_.arrivalPace, needed))
+        closing.push_back(inputs[i]);
+    closeSilent(closing);
 }
 
 void HttpFront::closeSilent(const std::vector<bufferevent*>& connections) {
@@ -506,13 +531,14 @@
 
 // Overdue connections are always closed. At the connection limit, those on which nothing goes on for a
 // shorter time are closed too, then those idle longest; `reservedDescriptors` also serves as the number
-// of connections closed at once. Meanwhile new connections wait in the listener's queue, and requests on the
+// of connections closed at once. A request that has arrived in part is given up only for a connection that
+// waits. Meanwhile new connections wait in the listener's queue, and requests on the
 // open connections are still served.
 void HttpFront::checkConnections() {
     closeOverdueConnections();
     closeIdleConnections(connections_.size(), limits_.clientIdleTimeoutMs);
     if (atConnectionLimit()) {
-        closeStalledConnections(limits_.reservedDescriptors);
+        makeRoomForConnections();
         closeIdleConnections(limits_.reservedDescriptors, limits_.crowdedIdleTimeoutMs);
     }
     if (evacuating() && dispatcher_.nowMs() - *evacuatingSinceMs_ >= limits_.evacuateCloseDelayMs)
@@ -583,6 +609,7 @@
         return sendReply(request, 200, "OK", page->second());
     auto decoded = decodeRequest(request, settings_, dispatcher_.nowMs(), error);
     if (!decoded) return rejectMalformed(request, error);
+    releaseContent(request);
     // A client that pipelines requests may have disconnected before this one is submitted. The answer, which
     // nobody receives, lets evhttp free the request.
     if (!readAhead(*client->second.input)) {
@@ -635,6 +662,7 @@
 
 void HttpFront::sendReply(evhttp_request* request, int code, const char* reason, std::string body) {
     decideConnectionClose(request);
+    releaseContent(request);
     readNextRequest(evhttp_request_get_connection(request));
     addAccountedBody(evhttp_request_get_output_buffer(request), std::move(body), dispatcher_.counters());
     evhttp_send_reply(request, code, reason, nullptr);
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -132,9 +132,10 @@
     /// Closes the connections on which nothing has arrived for `firstRequestTimeoutMs`, or a request slower
     /// than `arrivalPace`.
     void closeOverdueConnections();
-    /// Closes at most `maxCount` connections that were accepted `crowdedFirstRequestTimeoutMs` ago and have
-    /// brought nothing, or whose request has not gone on for as long; those with nothing first.
-    void closeStalledConnections(std::size_t maxCount);
+    /// At the connection limit, closes at most `reservedDescriptors` connections: those that have brought
+    /// nothing for `crowdedFirstRequestTimeoutMs`, and as many as new ones wait of those whose request has
+    /// not gone on for `crowdedStallTimeoutMs`.
+    void makeRoomForConnections();
     /// Whether no request has begun to arrive on the connection for `silentMs`.
     [[nodiscard]] bool isSilent(const WaitingInput& waiting, double silentMs) const;
     void closeSilent(const std::vector<bufferevent*>& connections);
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cctype>
 #include <charconv>
+#include <memory>
 #include <set>
 
 #include "http/text.h"
@@ -13,6 +14,9 @@
 namespace {
 
 constexpr std::size_t kHexDigits = 16;
+constexpr std::size_t kOpenRequestBytes = 2048;  // of an open request besides its own text
+constexpr std::size_t kUriCopies = 5;            // two at evhttp, here, in an attempt and in its output
+constexpr std::size_t kFieldCopies = 3;          // here, in an attempt and in its output
 
 bool isHex16(std::string_view text) {
     return text.size() == kHexDigits && text.find_first_not_of("0123456789abcdefABCDEF") == text.npos;
@@ -67,6 +71,13 @@
     return error.empty();
 }
 
+std::size_t DecodedRequest::heldBytes() const {
+    std::size_t fieldBytes = 0;
+    for (const auto& [name, value] : nodeRequest.headers) fieldBytes += name.size() + value.size();
+    return kOpenRequestBytes + kUriCopies * nodeRequest.uri.size() + kFieldCopies * fieldBytes +
+           nodeRequest.body->size();
+}
+
 std::optional<IoInfo> decodeIoInfo(std::string_view text) {
     IoInfo info;
     bool hasUnits = false;
@@ -140,8 +151,9 @@
             decoded.nodeRequest.headers.emplace_back(name, std::move(value));
     }
     evbuffer* body = evhttp_request_get_input_buffer(httpRequest);
-    decoded.nodeRequest.body.resize(evbuffer_get_length(body));
-    evbuffer_copyout(body, decoded.nodeRequest.body.data(), decoded.nodeRequest.body.size());
+    std::string text(evbuffer_get_length(body), '\0');
+    evbuffer_copyout(body, text.data(), text.size());
+    decoded.nodeRequest.body = std::make_shared<const std::string>(std::move(text));
     return decoded;
 }
 
--- a/src/http/message.h
+++ b/src/http/message.h
@@ -16,6 +16,9 @@
 struct DecodedRequest {
     Request request;
     NodeRequest nodeRequest;
+
+    /// About how much memory the request holds until it is answered, in bytes.
+    [[nodiscard]] std::size_t heldBytes() const;
 };
 
 /// Returns whether the request's end and its fields are unambiguous; if not, `error` names the fault. evhttp
--- a/src/http/node_connection.cpp
+++ b/src/http/node_connection.cpp
@@ -6,14 +6,18 @@
 
 namespace martencove {
 
-std::string encodeNodeRequest(const NodeRequest& request, const Address& node, double deadlineMs) {
+std::string encodeNodeRequestHead(const NodeRequest& request, const Address& node, double deadlineMs) {
     std::string text =
         (request.isWrite ? "PUT " : "GET ") + request.uri + " HTTP/1.1\r\nHost: " + node.toString() + "\r\n";
     for (const auto& [name, value] : request.headers)
         text.append(name).append(": ").append(value).append("\r\n");
     text += "Req-Deadline-Ms: " + std::to_string(std::max(1L, std::lround(std::floor(deadlineMs)))) + "\r\n";
-    if (request.isWrite) text += "Content-Length: " + std::to_string(request.body.size()) + "\r\n";
-    return text.append("\r\n").append(request.body);
+    if (request.isWrite) text += "Content-Length: " + std::to_string(request.body->size()) + "\r\n";
+    return text.append("\r\n");
+}
+
+void HttpNodeConnection::writeRequest(const NodeRequest& request) {
+    writeFinal(encodeNodeRequestHead(request, address(), remainingTimeouts().timeoutMs), request.body);
 }
 
 void HttpNodeConnection::start(const NodeRequest& request, const AttemptTimeouts& timeouts,
@@ -23,15 +27,14 @@
     sink_ = request.sink;
     streaming_ = false;
     beginRequest(timeouts, std::move(done));
-    if (isConnected())
-        return writeFinal(encodeNodeRequest(request, address(), remainingTimeouts().timeoutMs));
+    if (isConnected()) return writeRequest(request);
     pendingRequest_ = request;
 }
 
 // The request is encoded only now, so that Req-Deadline-Ms is the time that is left once the connection is
 // established.
 void HttpNodeConnection::onConnected() {
-    writeFinal(encodeNodeRequest(*pendingRequest_, address(), remainingTimeouts().timeoutMs));
+    writeRequest(*pendingRequest_);
     pendingRequest_.reset();
 }
 
--- a/src/http/node_connection.h
+++ b/src/http/node_connection.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 #include <utility>
@@ -31,12 +32,13 @@
     bool isWrite = false;
     std::string uri;
     std::vector<std::pair<std::string, std::string>> headers;
-    std::string body;
+    /// Shared by all attempts of the request. Never null.
+    std::shared_ptr<const std::string> body = std::make_shared<const std::string>();
 };
-/// Returns the request as HTTP/1.1 text. `deadlineMs`: the remaining time in milliseconds, sent to the node
-/// as Req-Deadline-Ms, at least 1.
-[[nodiscard]] std::string encodeNodeRequest(const NodeRequest& request, const Address& node,
-                                            double deadlineMs);
+/// Returns the head of the request as HTTP/1.1 text. `deadlineMs`: the remaining time in milliseconds, sent
+/// to the node as Req-Deadline-Ms, at least 1.
+[[nodiscard]] std::string encodeNodeRequestHead(const NodeRequest& request, const Address& node,
+                                                double deadlineMs);
 
 /// A connection to a storage node that carries one HTTP request at a time. Responses longer than
 /// `streamThresholdBytes` are forwarded to the request's sink while they arrive.
@@ -64,6 +66,7 @@
     void transferRequest(HttpNodeConnection& other);
 
 private:
+    void writeRequest(const NodeRequest& request);
     void onConnected() override;
     void onData(std::string_view& in) override;
     void onEof() override;
--- a/src/nbd/front.cpp
+++ b/src/nbd/front.cpp
@@ -14,6 +14,9 @@
 namespace martencove::nbd {
 namespace {
 
+constexpr std::size_t kOpenCommandBytes = 2048;  // of an open command besides its data
+constexpr std::size_t kDataCopies = 2;           // here and in the attempt at a node
+
 std::string refusalText(double retryAfterMs) {
     if (retryAfterMs <= 0) return "refused, never ran: come back at any time";
     char text[80];
@@ -31,6 +34,7 @@
     Session(Front& front, evutil_socket_t fd)
         : front_(front),
           socket_(bufferevent_socket_new(front.base_, fd, BEV_OPT_CLOSE_ON_FREE)),
+          inputCharge_(front.requestMemory_),
           handshakeTimer_(front.base_, [this] { rejectClient("handshake took too long"); }),
           disconnectCheckTimer_(front.base_, [this] { checkDisconnected(); }) {
         bufferevent_setcb(socket_.get(), onReadable, onWritten, onEvent, this);
@@ -92,10 +96,10 @@
             evbuffer_drain(input, size - rest.size());
         }
         processingInput_ = false;
+        inputCharge_.set(evbuffer_get_length(input));
         if (result == DecodeResult::malformed) return rejectClient("malformed message");
         if (closed_) return;
-        const std::size_t maxBufferedBytes = 2 * front_.limits_.maxRequestBodyBytes;
-        setReadingPaused(evbuffer_get_length(input) >= maxBufferedBytes);
+        setReadingPaused(evbuffer_get_length(input) >= front_.limits_.maxNbdInputBytes());
     }
 
     // Stops reading from the socket while too much unprocessed input is buffered. A disconnect is not
@@ -115,9 +119,13 @@
         disconnectCheckTimer_.start(front_.limits_.readAheadCheckIntervalMs);
     }
 
-    // Applies backpressure to clients that send faster than they are served or do not read their replies.
+    // Applies backpressure to clients that send faster than they are served, do not read their replies, or
+    // have commands in flight while there is no memory for more.
     bool mayProcessMore() const {
-        return state_ != State::closing && !closed_ &&
+        const bool hasMemory =
+            requests_.empty() || front_.requestMemory_.availableBytes() >=
+                                     kOpenCommandBytes + kDataCopies * front_.limits_.maxRequestBodyBytes;
+        return hasMemory && state_ != State::closing && !closed_ &&
                requests_.size() < front_.limits_.maxNbdCommandsInFlight &&
                evbuffer_get_length(bufferevent_get_output(socket_.get())) < front_.limits_.maxNbdUnsentBytes;
     }
@@ -243,6 +251,7 @@
 
     Front& front_;
     LibeventPtr<bufferevent> socket_;
+    RequestMemory::Charge inputCharge_;  // of what has arrived and is not processed
     Timer handshakeTimer_;
     Timer disconnectCheckTimer_;
     State state_ = State::clientFlags;
@@ -267,7 +276,10 @@
           session_(&session),
           id_(std::move(id)),
           export_(nbdExport),
-          command_(std::move(command)) {}
+          command_(std::move(command)),
+          charge_(front.requestMemory_) {
+        charge_.set(kOpenCommandBytes + kDataCopies * command_.data.size());
+    }
 
     ~NbdRequestHandler() override {
         if (session_ != nullptr) session_->removeRequest(this);
@@ -331,6 +343,7 @@
     RequestId id_;
     const NbdExport& export_;
     CommandMessage command_;
+    RequestMemory::Charge charge_;  // of command_
     NodeReply servedReply_;
     std::map<int, std::unique_ptr<InFlightRequest<NbdNodeConnection>>>
         inFlightRequests_;  // by attempt number
@@ -413,11 +426,12 @@
 void Front::ListenerDeleter::operator()(evconnlistener* listener) const { evconnlistener_free(listener); }
 
 Front::Front(event_base* base, NbdConfig config, Dispatcher& dispatcher, NbdNodeConnectionPool& pool,
-             const Limits& limits, Log& log, int listener)
+             RequestMemory& requestMemory, const Limits& limits, Log& log, int listener)
     : base_(base),
       config_(std::move(config)),
       dispatcher_(dispatcher),
       pool_(pool),
+      requestMemory_(requestMemory),
       limits_(limits),
       log_(log),
       lingeringCloses_(base, limits, dispatcher.counters()),
--- a/src/nbd/front.h
+++ b/src/nbd/front.h
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 
+#include "arrival/request_memory.h"
 #include "config/nbd_config.h"
 #include "core/dispatcher.h"
 #include "nbd/node_connection.h"
@@ -24,7 +25,7 @@
     /// `listener` is an inherited socket that already listens on `config.listen`, or -1 to bind a new one.
     /// Throws std::runtime_error if the address cannot be bound.
     Front(event_base* base, NbdConfig config, Dispatcher& dispatcher, NbdNodeConnectionPool& pool,
-          const Limits& limits, Log& log, int listener = -1);
+          RequestMemory& requestMemory, const Limits& limits, Log& log, int listener = -1);
     ~Front();
     Front(const Front&) = delete;
     Front& operator=(const Front&) = delete;
@@ -53,6 +54,7 @@
     NbdConfig config_;
     Dispatcher& dispatcher_;
     NbdNodeConnectionPool& pool_;
+    RequestMemory& requestMemory_;
     const Limits& limits_;
     Log& log_;
     LingeringCloses lingeringCloses_;
--- a/src/net/node_connection.cpp
+++ b/src/net/node_connection.cpp
@@ -1,8 +1,10 @@
 #include "net/node_connection.h"
 
 #include <sys/socket.h>
+#include <sys/uio.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <cmath>
 #include <utility>
@@ -87,20 +89,40 @@
     bufferevent_write(socket_.get(), bytes.data(), bytes.size());
 }
 
-void NodeConnection::writeFinal(const std::string& bytes) {
+void NodeConnection::writeFinal(std::string_view bytes, const std::shared_ptr<const std::string>& body) {
     if (clock_.nowMs() > sendByMs_)
         return connectOrSendTimer_.start(0);  // reported from the loop, as every result is
     finalWriteStarted_ = true;
+    const std::size_t bodyBytes = body ? body->size() : 0;
     std::size_t sentBytes = 0;
-    if (evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0) {
-        const ssize_t result =
-            send(bufferevent_getfd(socket_.get()), bytes.data(), bytes.size(), MSG_NOSIGNAL);
-        // An error is reported by the bufferevent below.
-        sentBytes = static_cast<std::size_t>(std::max<ssize_t>(result, 0));
-    }
+    if (evbuffer_get_length(bufferevent_get_output(socket_.get())) == 0)
+        sentBytes = sendNow(bytes, body ? std::string_view(*body) : std::string_view());
     hasSentBytes_ = sentBytes > 0;
-    if (sentBytes == bytes.size()) return onFinalByteWritten();
-    bufferevent_write(socket_.get(), bytes.data() + sentBytes, bytes.size() - sentBytes);
+    if (sentBytes == bytes.size() + bodyBytes) return onFinalByteWritten();
+    const std::size_t sentOfBytes = std::min(sentBytes, bytes.size());
+    bufferevent_write(socket_.get(), bytes.data() + sentOfBytes, bytes.size() - sentOfBytes);
+    if (bodyBytes > 0) queueBody(body, sentBytes - sentOfBytes);
+}
+
+// An error is reported by the bufferevent, which writes the rest.
+std::size_t NodeConnection::sendNow(std::string_view bytes, std::string_view body) {
+    std::array<iovec, 2> parts{
+        {{const_cast<char*>(bytes.data()), bytes.size()}, {const_cast<char*>(body.data()), body.size()}}};
+    msghdr message{};
+    message.msg_iov = parts.data();
+    message.msg_iovlen = parts.size();
+    const ssize_t result = sendmsg(bufferevent_getfd(socket_.get()), &message, MSG_NOSIGNAL);
+    return static_cast<std::size_t>(std::max<ssize_t>(result, 0));
+}
+
+void NodeConnection::queueBody(const std::shared_ptr<const std::string>& body, std::size_t sentBytes) {
+    using SharedBody = std::shared_ptr<const std::string>;
+    auto owner = std::make_unique<SharedBody>(body);
+    if (evbuffer_add_reference(
+            bufferevent_get_output(socket_.get()), body->data() + sentBytes, body->size() - sentBytes,
+            [](const void*, std::size_t, void* arg) { delete static_cast<SharedBody*>(arg); },
+            owner.get()) == 0)
+        (void)owner.release();  // owned by the buffer now
 }
 
 void NodeConnection::onFinalByteWritten() {
--- a/src/net/node_connection.h
+++ b/src/net/node_connection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <functional>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -69,8 +70,9 @@
     void write(const std::string& bytes);
     /// Writes the last bytes of the request; once they are written, the node may execute it. As many as the
     /// socket accepts are sent at once rather than in a later turn of the loop, when the client may already
-    /// be gone. Nothing is sent after the time by which the last byte has to be sent.
-    void writeFinal(const std::string& bytes);
+    /// be gone. Nothing is sent after the time by which the last byte has to be sent. `body`: follows the
+    /// bytes and is not copied; null: nothing follows.
+    void writeFinal(std::string_view bytes, const std::shared_ptr<const std::string>& body = nullptr);
     /// Replaces the timeout of the request: it fails once nothing has been received for `stallMs`.
     void startStallTimeout(double stallMs);
     /// Sets the result of the request; it is reported once onData() has returned.
@@ -89,6 +91,9 @@
     // Counts a connection that bytes have made unusable: behind an answer, or while no request is under way.
     void countLeftOverBytes();
     void startConnect(double timeoutMs);
+    /// Sends as much as the socket accepts and returns how much that is.
+    std::size_t sendNow(std::string_view bytes, std::string_view body);
+    void queueBody(const std::shared_ptr<const std::string>& body, std::size_t sentBytes);
     void onFinalByteWritten();
     void fail(AttemptStatus statusIfSent);
     void reportDone();
--- a/tests/arrival/request_arrival_test.cpp
+++ b/tests/arrival/request_arrival_test.cpp
@@ -76,6 +76,26 @@
     CHECK_FALSE(chooseLongestStalled({}, 120, kPace).has_value());
 }
 
+// Guards against giving up requests of slow clients although nobody needs their places.
+TEST_CASE(
+    "request arrival: stalled requests make room only for connections that wait, the longest silent first") {
+    const RequestArrival early = begunAt(0), middle = begunAt(100), late = begunAt(300), none(0);
+    RequestArrival slow = begunAt(0);
+    slow.addInput(250, 0);  // may be silent for as long again, and longer
+    const std::vector<WaitingConnection> connections = {{&late, false, true},  {&middle, false, true},
+                                                        {&slow, false, true},  {&none, true, false},
+                                                        {&early, false, true}, {&none, false, false}};
+    using Indices = std::vector<std::size_t>;
+    const auto choose = [&](std::size_t maxCount, std::size_t waitingCount) {
+        return chooseConnectionsForRoom(connections, 500, kPace, {maxCount, waitingCount, 300});
+    };
+    CHECK(choose(10, 0) == Indices{3});
+    CHECK(choose(10, 1) == Indices{3});
+    CHECK(choose(10, 2) == Indices{3, 4});
+    CHECK(choose(10, 10) == Indices{3, 4, 1});
+    CHECK(choose(2, 10) == Indices{3, 4});
+}
+
 TEST_CASE("request memory: charges are taken within the limit and released") {
     std::size_t limit = 100, charged = 0;
     RequestMemory memory(limit, charged);
