Check a request's fields without copying them, and give no empty body its own memory

Change: validateFraming() compares the names as they are instead of lowering a copy of each and keeping those seen in a set; a request without a body has none instead of an allocated empty one. What is accepted is unchanged.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -3,16 +3,21 @@
 #include <event2/keyvalq_struct.h>
 
 #include <algorithm>
-#include <cctype>
+#include <array>
 #include <charconv>
 #include <memory>
-#include <set>
+#include <utility>
 
 #include "http/text.h"
 
 namespace martencove {
 namespace {
 
+constexpr std::string_view kContentLength = "Content-Length", kTransferEncoding = "Transfer-Encoding";
+/// The fields that a request may have once only.
+constexpr std::array<std::string_view, 9> kUniqueFields{
+    kContentLength,    kTransferEncoding, "Host",        "Req-Id", "Tier", "IO-Info",
+    "Req-Deadline-Ms", "Idempotency-Key", "Content-Type"};
 constexpr std::size_t kHexDigits = 16;
 constexpr std::size_t kOpenRequestBytes = 2048;  // of an open request besides its own text
 constexpr std::size_t kUriCopies = 5;            // two at evhttp, here, in an attempt and in its output
@@ -41,31 +46,27 @@
     error = "";
     const char* uri = evhttp_request_get_uri(request);
     if (uri == nullptr || !isPrintable(uri)) error = uri == nullptr ? "URI missing" : "path";
-    std::set<std::string> seen;
-    std::string contentLength, transferEncoding;
+    std::array<bool, kUniqueFields.size()> seen{};
+    std::string_view contentLength, transferEncoding;
     for (const evkeyval* field = evhttp_request_get_input_headers(request)->tqh_first; field != nullptr;
          field = field->next.tqe_next) {
-        const std::string_view value = field->value;
-        std::string name = field->key;
+        const std::string_view name = field->key, value = field->value;
         if (!isToken(name) || std::any_of(value.begin(), value.end(), [](unsigned char c) {
                 return (c < ' ' && c != '\t') || c == 0x7f;
             }))
             error = "invalid header field";
-        std::transform(name.begin(), name.end(), name.begin(),
-                       [](unsigned char c) { return std::tolower(c); });
-        if (name == "content-length") contentLength = value;
-        if (name == "transfer-encoding") transferEncoding = value.empty() ? "none" : value;
-        for (const char* uniqueName : {"content-length", "transfer-encoding", "host", "req-id", "tier",
-                                       "io-info", "req-deadline-ms", "idempotency-key", "content-type"}) {
-            if (name == uniqueName && !seen.insert(name).second) error = "duplicate header field";
-        }
+        for (std::size_t i = 0; i < kUniqueFields.size(); ++i)
+            if (equalsIgnoreCase(name, kUniqueFields[i]) && std::exchange(seen[i], true))
+                error = "duplicate header field";
+        if (equalsIgnoreCase(name, kContentLength)) contentLength = value;
+        if (equalsIgnoreCase(name, kTransferEncoding)) transferEncoding = value.empty() ? "none" : value;
     }
+    const bool hasContentLength = contentLength.data() != nullptr;
     std::uint64_t bodyBytes = 0;
-    if (seen.contains("content-length") && !parseDecimal(contentLength, bodyBytes)) error = "Content-Length";
+    if (hasContentLength && !parseDecimal(contentLength, bodyBytes)) error = "Content-Length";
     if (!transferEncoding.empty() && !equalsIgnoreCase(transferEncoding, "chunked"))
         error = "Transfer-Encoding";
-    if (!transferEncoding.empty() && seen.contains("content-length"))
-        error = "Content-Length with Transfer-Encoding";
+    if (!transferEncoding.empty() && hasContentLength) error = "Content-Length with Transfer-Encoding";
     if (evhttp_request_get_command(request) != EVHTTP_REQ_PUT && (bodyBytes > 0 || !transferEncoding.empty()))
         error = "body not allowed";
     return error.empty();
@@ -75,7 +76,7 @@
     std::size_t fieldBytes = 0;
     for (const auto& [name, value] : nodeRequest.headers) fieldBytes += name.size() + value.size();
     return kOpenRequestBytes + kUriCopies * nodeRequest.uri.size() + kFieldCopies * fieldBytes +
-           nodeRequest.body->size();
+           nodeRequest.bodyBytes();
 }
 
 std::optional<IoInfo> decodeIoInfo(std::string_view text) {
@@ -151,9 +152,11 @@
             decoded.nodeRequest.headers.emplace_back(name, std::move(value));
     }
     evbuffer* body = evhttp_request_get_input_buffer(httpRequest);
-    std::string text(evbuffer_get_length(body), '\0');
-    evbuffer_copyout(body, text.data(), text.size());
-    decoded.nodeRequest.body = std::make_shared<const std::string>(std::move(text));
+    if (const std::size_t bodyBytes = evbuffer_get_length(body); bodyBytes > 0) {
+        std::string text(bodyBytes, '\0');
+        evbuffer_copyout(body, text.data(), text.size());
+        decoded.nodeRequest.body = std::make_shared<const std::string>(std::move(text));
+    }
     return decoded;
 }
 
--- a/src/http/node_connection.cpp
+++ b/src/http/node_connection.cpp
@@ -12,7 +12,7 @@
     for (const auto& [name, value] : request.headers)
         text.append(name).append(": ").append(value).append("\r\n");
     text += "Req-Deadline-Ms: " + std::to_string(std::max(1L, std::lround(std::floor(deadlineMs)))) + "\r\n";
-    if (request.isWrite) text += "Content-Length: " + std::to_string(request.body->size()) + "\r\n";
+    if (request.isWrite) text += "Content-Length: " + std::to_string(request.bodyBytes()) + "\r\n";
     return text.append("\r\n");
 }
 
--- a/src/http/node_connection.h
+++ b/src/http/node_connection.h
@@ -32,8 +32,10 @@
     bool isWrite = false;
     std::string uri;
     std::vector<std::pair<std::string, std::string>> headers;
-    /// Shared by all attempts of the request. Never null.
-    std::shared_ptr<const std::string> body = std::make_shared<const std::string>();
+    /// Shared by all attempts of the request; null if it has none.
+    std::shared_ptr<const std::string> body;
+
+    [[nodiscard]] std::size_t bodyBytes() const { return body ? body->size() : 0; }
 };
 /// Returns the head of the request as HTTP/1.1 text. `deadlineMs`: the remaining time in milliseconds, sent
 /// to the node as Req-Deadline-Ms, at least 1.
