--- a/src/core/limits.h
+++ b/src/core/limits.h
@@ -84,7 +84,6 @@
     // At the connection limit these shorter timeouts apply, so that connections become free.
     double crowdedIdleTimeoutMs = 1000;
     double crowdedFirstRequestTimeoutMs = 100;
-    double crowdedStallTimeoutMs = 300;  // of a request that has arrived in part
     double crowdedCheckIntervalMs = 10;  // between checks whether connections are free again
     // Whether the list of nodes is pushed to an agent on this machine. Then a change counts as known to this
     // host once the agent has it, and calls to the agent cost nothing.
--- a/src/http/client_input.cpp
+++ b/src/http/client_input.cpp
@@ -112,10 +112,13 @@
 
 std::size_t ClientInput::scan(std::string_view bytes) {
     const bool inHead = !scanner_.headComplete();
+    if (kept_.empty()) kept_.reserve(std::min(bytes.size(), kReadBytes));  // enough for most requests
     const std::size_t consumed = scanner_.scan(bytes, kept_);
     arrival_.addInput(context_.clock.nowMs(), scanner_.bodyBytes());
-    if (inHead && scanner_.maxRemainingBytes() > 0 && chargeNeeded())
+    if (inHead && scanner_.maxRemainingBytes() > 0 && chargeNeeded()) {
         kept_.reserve(kept_.size() + scanner_.maxRemainingBytes());
+        charge_.set(heldBytes());  // the reserve may be larger
+    }
     return consumed;
 }
 
@@ -148,6 +151,7 @@
         kept_ = std::string();
         ahead_ = std::string();
     }
+    kept_.shrink_to_fit();
     // What was read before the memory could be asked for is held nevertheless.
     charge_.set(countedBytes(allocatedBytes(kept_) + allocatedBytes(ahead_)));
     context_.onBlocked();
--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -386,6 +386,7 @@
     for (const WaitingInput& candidate : inputs) {
         const ClientInput& input = *candidate.input;
         if (input.state() == ClientInput::State::waitingForMemory) {
+            if (hasOutput(input.connection())) continue;  // the answer before it goes first
             if (longest == nullptr ||
                 *input.arrival().pausedSinceMs() < *longest->input->arrival().pausedSinceMs())
                 longest = &candidate;
@@ -403,7 +404,7 @@
     }
     if (longest == nullptr) return false;
     const bool givenUp = now - *longest->input->arrival().pausedSinceMs() >= limits_.requestMemoryWaitMs;
-    if (!givenUp || hasOutput(longest->input->connection())) return false;
+    if (!givenUp) return false;
     dispatcher_.counters().add("request_no_memory");
     refuseArriving(*longest);
     return true;
@@ -473,7 +474,7 @@
                               input.hasPartialRequest()});
     }
     const RoomNeeded needed{limits_.reservedDescriptors, waitingConnectionCount(listenerFd()),
-                            limits_.crowdedStallTimeoutMs};
+                            limits_.crowdedFirstRequestTimeoutMs};
     std::vector<bufferevent*> closing;
     for (const std::size_t i :
          chooseConnectionsForRoom(candidates, clock_.nowMs(), limits_.arrivalPace, needed))
--- a/src/http/front.h
+++ b/src/http/front.h
@@ -134,7 +134,7 @@
     void closeOverdueConnections();
     /// At the connection limit, closes at most `reservedDescriptors` connections: those that have brought
     /// nothing for `crowdedFirstRequestTimeoutMs`, and as many as new ones wait of those whose request has
-    /// not gone on for `crowdedStallTimeoutMs`.
+    /// not gone on for as long.
     void makeRoomForConnections();
     /// Whether no request has begun to arrive on the connection for `silentMs`.
     [[nodiscard]] bool isSilent(const WaitingInput& waiting, double silentMs) const;
