Count no waiting connections while accepting is paused

Cause: in an upgrade both processes share the listening socket, so that at its connection limit the old one would have given up stopped requests for connections that only its successor accepts. Read, not seen.

Change: while accepting is paused, no connection counts as waiting.

Measured on AArch64: the tests of the HTTP front, of endless requests and of upgrades passed in the plain build (30 cases).

--- a/src/http/front.cpp
+++ b/src/http/front.cpp
@@ -473,8 +473,9 @@
         candidates.push_back({&input.arrival(), isSilent(waiting, limits_.crowdedFirstRequestTimeoutMs),
                               input.hasPartialRequest()});
     }
-    const RoomNeeded needed{limits_.reservedDescriptors, waitingConnectionCount(listenerFd()),
-                            limits_.crowdedFirstRequestTimeoutMs};
+    // While accepting is paused, what waits is not for this process.
+    const std::size_t waitingCount = acceptingPaused_ ? 0 : waitingConnectionCount(listenerFd());
+    const RoomNeeded needed{limits_.reservedDescriptors, waitingCount, limits_.crowdedFirstRequestTimeoutMs};
     std::vector<bufferevent*> closing;
     for (const std::size_t i :
          chooseConnectionsForRoom(candidates, clock_.nowMs(), limits_.arrivalPace, needed))
