Test of 1,023 datagram sockets: keep the program's port free, and close the sockets on failure

Cause: the test binds 1,023 UDP sockets to ports that the system draws, and one of them may get the number whose TCP port is reserved for the program. The program then does not start, the case throws, and the sockets stayed open for the rest of the test process, where each later start had a chance of 1,023 in 28,232 to fail as well.

Change: the sockets have an owner that closes them and takes no port that is to be the program's.

--- a/tests/program/list_test.cpp
+++ b/tests/program/list_test.cpp
@@ -411,30 +411,60 @@
     CHECK(harness.stopAndWait() == 0);
 }
 
+namespace {
+
+/// UDP sockets on loopback ports that the system assigns, none of them `exceptPort`, which the program under
+/// test is to bind: ReservedAddress keeps only its TCP port.
+class DatagramSockets {
+public:
+    DatagramSockets(int count, std::uint16_t exceptPort) {
+        while (static_cast<int>(fds_.size()) < count) {
+            const int fd = socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0);
+            sockaddr_in address = martencove::Address{"127.0.0.1", 0}.socketAddress();
+            REQUIRE(bind(fd, reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
+            socklen_t size = sizeof address;
+            getsockname(fd, reinterpret_cast<sockaddr*>(&address), &size);
+            const std::uint16_t port = ntohs(address.sin_port);
+            if (port == exceptPort) {
+                close(fd);
+                continue;
+            }
+            fds_.push_back(fd);
+            ports_.push_back(port);
+        }
+    }
+    ~DatagramSockets() {
+        for (const int fd : fds_) close(fd);
+    }
+    DatagramSockets(const DatagramSockets&) = delete;
+    DatagramSockets& operator=(const DatagramSockets&) = delete;
+
+    [[nodiscard]] const std::vector<int>& descriptors() const { return fds_; }
+    [[nodiscard]] const std::vector<std::uint16_t>& ports() const { return ports_; }
+
+private:
+    std::vector<int> fds_;
+    std::vector<std::uint16_t> ports_;
+};
+
+}  // namespace
+
 // Guards against datagrams that are lost because the receive buffer is too small or is read too rarely: all
 // peers send their bids at the same moment.
 TEST_CASE("peers: a burst of one datagram from each of 1,024 peers is received entirely") {
     ProgramHarness harness;
     Json peers = Json::array({harness.peerListenAddress.toString()});
-    std::vector<int> sockets;
-    for (int i = 1; i < 1024; ++i) {
-        sockets.push_back(socket(AF_INET, SOCK_DGRAM | SOCK_CLOEXEC, 0));
-        sockaddr_in address = martencove::Address{"127.0.0.1", 0}.socketAddress();
-        REQUIRE(bind(sockets.back(), reinterpret_cast<sockaddr*>(&address), sizeof address) == 0);
-        socklen_t size = sizeof address;
-        getsockname(sockets.back(), reinterpret_cast<sockaddr*>(&address), &size);
-        peers.push_back("127.0.0.1:" + std::to_string(ntohs(address.sin_port)));
-    }
+    const DatagramSockets sockets(1023, harness.peerListenAddress.port);
+    for (const std::uint16_t port : sockets.ports()) peers.push_back("127.0.0.1:" + std::to_string(port));
     harness.config["peers"] = peers;
     harness.config["settings"]["Siblings"] = 1024;
     harness.start();
     harness.sendSignal(SIGSTOP);  // all datagrams arrive before the first is read
     const sockaddr_in target = harness.peerListenAddress.socketAddress();
     const std::string text(256, 'x');
-    for (const int fd : sockets)
+    for (const int fd : sockets.descriptors())
         CHECK(sendto(fd, text.data(), text.size(), 0, reinterpret_cast<const sockaddr*>(&target),
                      sizeof target) == 256);
     harness.sendSignal(SIGCONT);
     CHECK(harness.waitUntil([&] { return harness.readCounter("peer_received") == 1023; }, 5000));
-    for (const int fd : sockets) close(fd);
 }
