Known red: in an upgrade both processes together use more descriptors than one may

Cause: each process counts its own descriptors alone. Not mended here: a fixed half for each process would refuse usual clients in an upgrade, and each must know of the other's.

No product code.

--- a/tests/program/program_harness.cpp
+++ b/tests/program/program_harness.cpp
@@ -11,6 +11,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <stdexcept>
 
@@ -423,6 +424,12 @@
     return 0;
 }
 
+std::size_t ProgramHarness::descriptorCount() const {
+    std::error_code error;
+    const std::filesystem::directory_iterator entries("/proc/" + std::to_string(pid_) + "/fd", error);
+    return error ? 0 : static_cast<std::size_t>(std::distance(begin(entries), end(entries)));
+}
+
 int ProgramHarness::stopAndWait(int signal) {
     if (running() && !(terminationRequested_ && signal == SIGTERM)) sendSignal(signal);
     if (!waitUntil([this] { return !running(); })) return -1;
--- a/tests/program/program_harness.h
+++ b/tests/program/program_harness.h
@@ -170,6 +170,8 @@
     [[nodiscard]] bool running();
     /// The program's private memory now (RssAnon), in bytes; 0 if it does not run.
     [[nodiscard]] long long privateMemoryBytes() const;
+    /// How many descriptors the program has open; 0 if it does not run.
+    [[nodiscard]] std::size_t descriptorCount() const;
     /// Whether privateMemoryBytes() is the program's own memory: with sanitizers, it is mostly theirs.
 #ifdef __SANITIZE_ADDRESS__
     static constexpr bool kMeasuresMemory = false;
--- a/tests/program/request_memory_test.cpp
+++ b/tests/program/request_memory_test.cpp
@@ -233,6 +233,35 @@
     CHECK(successor.stopAndWait() == 0);
 }
 
+// Fails: an entry of KNOWN-RED.txt. Guards against two processes that each use the descriptors of one: the
+// limit is that of both together.
+TEST_CASE("in an upgrade, half-written requests keep both processes within the descriptors" *
+          doctest::skip()) {
+    constexpr std::size_t kSockets = 200;
+    MemoryFixture test({32, kSockets});
+    ProgramHarness& oldProcess = test.program;
+    const ReservedAddress opsAddresses[2];
+    REQUIRE(oldProcess.stopAndWait() == 0);
+    oldProcess.config["ops"] = opsAddresses[0].toString();
+    oldProcess.tmpDir = oldProcess.folder();
+    oldProcess.start();
+    const std::string stopped = halfWritten(test)[kHeadOnly];
+    test.connectAll(kSockets, [&](int) { return stopped; });
+    ProgramHarness successor(oldProcess.base.get());
+    successor.config = oldProcess.config;
+    successor.config["ops"] = opsAddresses[1].toString();
+    successor.listenAddress = oldProcess.listenAddress;
+    successor.tmpDir = oldProcess.folder();
+    successor.start();
+    std::size_t peakCount = 0;
+    for (int i = 0; i < 200; ++i) {
+        successor.connect().send(stopped);
+        if (i % 10 == 9) successor.waitBriefly();
+        peakCount = std::max(peakCount, oldProcess.descriptorCount() + successor.descriptorCount());
+    }
+    CHECK(peakCount <= kSockets);
+}
+
 TEST_CASE("a client that waits for 100 Continue gets it once, and its answer") {
     MemoryFixture test({32, 256});
     const std::string text =
--- a/tests/run.sh
+++ b/tests/run.sh
@@ -2,6 +2,8 @@
 # Builds with warnings as errors, once without and once with sanitizers, and runs all tests in both builds.
 set -euo pipefail
 cd "$(dirname "$0")/.."
+echo "Known to fail; tests of the program among them are passed over (KNOWN-RED.txt):"
+grep -E '^[0-9]+\. ' KNOWN-RED.txt || true
 for kind in plain sanitized; do
     sanitize=OFF
     [ "$kind" = sanitized ] && sanitize=ON
